--- /dev/null
+++ b/internal/benchwire/benchwire.go
@@ -0,0 +1,185 @@
+// Package benchwire speaks the simulator's wire: it decodes batches into calls of the decision
+// module and encodes the results. The wire's names end here. It decides nothing.
+package benchwire
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	"threadrun/decide"
+	"threadrun/internal/mix"
+)
+
+type entry struct {
+	name string
+	decide.Listed
+	kind, zone string
+}
+
+// Link serves one process's share of instances.
+type Link struct {
+	in     *bufio.Reader
+	out    *bufio.Writer
+	parser fastjson.Parser
+	pages  [16][]entry
+	posts  map[int]*post
+	buf    []byte
+}
+
+// New makes a link between two streams.
+func New(in io.Reader, out io.Writer) *Link {
+	return &Link{in: bufio.NewReaderSize(in, 1<<20), out: bufio.NewWriterSize(out, 1<<20), posts: map[int]*post{}}
+}
+
+// Run answers batches until the input ends.
+func (l *Link) Run() error {
+	for {
+		line, err := l.in.ReadBytes('\n')
+		if len(line) > 1 {
+			if err := l.batch(line); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (l *Link) batch(line []byte) error {
+	v, err := l.parser.ParseBytes(line)
+	if err != nil {
+		return fmt.Errorf("batch: %w", err)
+	}
+	now := micros(v.GetFloat64("ts"))
+	l.buf = append(l.buf[:0], `{"groups":[`...)
+	first := true
+	for _, g := range v.GetArray("groups") {
+		id := g.GetInt("router")
+		start := len(l.buf)
+		if !first {
+			l.buf = append(l.buf, ',')
+		}
+		l.buf = append(l.buf, `{"router":`...)
+		l.buf = strconv.AppendInt(l.buf, int64(id), 10)
+		l.buf = append(l.buf, `,"actions":[`...)
+		body := len(l.buf)
+		for _, e := range g.GetArray("happened") {
+			l.event(id, now, e)
+		}
+		if len(l.buf) == body {
+			l.buf = l.buf[:start]
+			continue
+		}
+		l.buf[len(l.buf)-1] = ']' // over the last comma
+		l.buf = append(l.buf, '}')
+		first = false
+	}
+	l.buf = append(l.buf, "]}\n"...)
+	if _, err := l.out.Write(l.buf); err != nil {
+		return err
+	}
+	return l.out.Flush()
+}
+
+func (l *Link) event(id int, now decide.Micros, e *fastjson.Value) {
+	op := str(e, "op")
+	switch op {
+	case "pool":
+		l.page(e)
+		return
+	case "new_instance":
+		l.posts[id] = newPost(l, e)
+		return
+	case "retire":
+		delete(l.posts, id)
+		return
+	}
+	p := l.posts[id]
+	if p == nil {
+		return
+	}
+	p.router.Clock(now)
+	switch op {
+	case "directory_update":
+		p.list(e)
+	case "accept":
+		p.accept(e)
+	case "closed_attempt":
+		if v, ok := p.visits[str(e, "txn")]; ok {
+			p.router.TripEnded(v, decide.Report{
+				Trip: decide.TripNo(e.GetInt("trial")), Ending: endings[str(e, "reason")],
+				Trace: decide.Trace(e.GetInt("info")), Over: e.GetBool("done_flag"),
+				Elapsed: micros(e.GetFloat64("elapsed")), FirstOut: micros(e.GetFloat64("first_byte")),
+				Load: p.load(e),
+			})
+		}
+	case "ack_first":
+		if v, ok := p.visits[str(e, "txn")]; ok {
+			p.router.Started(v, decide.TripNo(e.GetInt("trial")))
+		}
+	case "expired":
+		if v, ok := p.visits[str(e, "txn")]; ok {
+			p.router.Left(v)
+		}
+	case "expired_now":
+		var object decide.ObjectID
+		whole := !e.Exists("item")
+		if !whole {
+			object = decide.ObjectID(mix.Name(str(e, "item")))
+		}
+		p.router.Purged(object, decide.GroupID(e.GetInt("batch_id")), whole, micros(e.GetFloat64("age_span")))
+	case "timer":
+		p.router.Woke()
+	case "ping_result":
+		if c, ok := p.ids[str(e, "server")]; ok {
+			p.router.Probed(c, str(e, "reason") == "pass", p.load(e))
+		}
+	}
+}
+
+var endings = map[string]decide.Ending{
+	"pass": decide.Delivered, "fault": decide.Failed, "no_room": decide.Refused, "too_slow": decide.TooSlow,
+	"no_route": decide.NoRoute, "cut": decide.Broken, "undone": decide.Withdrawn,
+	"stale_send": decide.NeverSent, "none_here": decide.Lacking,
+}
+
+func (l *Link) page(e *fastjson.Value) {
+	n := e.GetInt("page")
+	if n < 0 || n >= len(l.pages) {
+		return
+	}
+	lines := e.GetArray("lines")
+	list := make([]entry, 0, len(lines))
+	for _, w := range lines {
+		x := entry{name: str(w, "server"), kind: str(w, "type"), zone: str(w, "zone")}
+		x.Mark = mix.Name(x.name)
+		x.Cell = decide.CellID(w.GetInt("group"))
+		x.Weight = w.GetFloat64("scale")
+		x.Started = micros(w.GetFloat64("last_start"))
+		switch str(w, "phase") {
+		case "fading":
+			x.Standing = decide.Draining
+		case "off":
+			x.Standing = decide.Gone
+		}
+		list = append(list, x)
+	}
+	l.pages[n] = list
+}
+
+func str(v *fastjson.Value, key string) string { return string(v.GetStringBytes(key)) }
+
+func micros(ms float64) decide.Micros { return decide.Micros(math.Round(ms * 1000)) }
+
+func appendMillis(b []byte, t decide.Micros) []byte {
+	return strconv.AppendFloat(b, float64(t)/1000, 'f', -1, 64)
+}
