Gate fills by limits on link and sources; keep crowded visits off the parents

Cause: visits that met full caches went straight to the parents over the full link, and trips cut off at their expected time fetched the same bytes twice. The random runs found the origin being sent to while it drained (straight did not ask); fixed with them.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,74 +1,69 @@
 // Package decide holds every decision of the router: this file alone has the rules of choice, the tables
 // and the tuned values. Its interface is api.go; docs/design.md tells what it follows and where it departs.
 //
-// How it is called: New makes a router. Before each event Clock tells the time, then one of List, Arrive,
-// TripEnded, Started, Left, Purged, Woke tells what happened. Results go to the Desk within that call.
+// How it is called: New makes a router. Before each event Clock tells the time, then one of List, ListLost,
+// Arrive, TripEnded, Started, Left, Purged, Probed, Woke tells what happened. Results go to the Desk within
+// that call. state.go has the records, and move, the one function that changes a visit's state.
 //
-// The design (learned accepted age) decides each ordinary visit: ledger and plan. Beside it stand:
+// The design (learned accepted age) decides each ordinary visit: see judge and plan. Beside it stand:
 //  1. spill: a crowded or resting home cache passes its visits on along the same hash order
 //  2. known copy: a cache of the branch that was seen to hold the object is the source for another
-//  3. in-flight limits: up by one, cut by a share; they also say when the router sees overload
+//  3. limits on what is in flight, up by one, cut by a share: trips at a cache, fills from a source, and
+//     fills over the branch's link; where fills have no room a visit still gets what its cache holds
 //  4. rest: a cache or source that shows itself dead is left alone for a while, then tried by one trip
 //  5. cold budgets: a just-started cache or parent gets this router's share of what it can bear
 package decide
 
 import (
 	"fmt"
-	"hash/crc32"
 	"math"
 
 	"threadrun/internal/mix"
-	"threadrun/internal/slab"
 	"threadrun/internal/table"
 )
 
 const (
-	second = Micros(1e6)
+	ms     = Micros(1000)
+	second = 1000 * ms
 
-	// The design's own values.
+	// The design's own values, and its open ones: c_f, c_a and the rank cut points.
 	theta      = 0.005 // weight of one sample in every smoothed figure of the design
-	costFill   = 1.0   // c_f
-	costAge    = 0.1   // c_a
-	missTarget = 0.1   // share of kept copies that may be missing within their timer
+	costFill   = 1.0
+	costAge    = 0.1
+	missTarget = 0.1 // share of kept copies that may be missing within their timer
 	tableMost  = 1 << 15
 	cutHigh    = 1.0 // rank 3 below this multiple of the typical gap
 	cutLow     = 3.0 // rank 1 above this one
 
-	furtherTrips = 2
-	answerMargin = 4000 * Micros(1) // a trip ends this long before the client's time is up
-	spillOver    = 1.25             // load over the branch's mean at which the home cache passes visits on
-	spillFree    = 3.0              // trips in hand that never count as crowding
-	limitFirst   = 24.0
-	limitLeast   = 4.0
-	limitCut     = 0.7
-	cutPause     = 300_000 * Micros(1) // one cut for one jam
-	restFirst    = 300_000 * Micros(1)
-	restMost     = 4 * second
-	sourceFails  = 3   // failures in a row after which a source rests
-	quickWeight  = 0.1 // of one sample in a source's quickness
-	quickTie     = 1.3 // sources nearer than this are equally quick: the hash decides
-	quickBase    = 20_000.0
-	budgetRate   = 0.6 // of a cold cache's allowance, as a steady rate
-	budgetBurst  = 0.3 // of one window's allowance, at once
-	budgetFloor  = 0.5 // work a second that all routers may send a cold cache before its kind's load is known
-	tickEvery    = 250_000 * Micros(1)
-	bearWeight   = 0.05 // of one tick in the load that a warm cache bears
-	troubleOn    = 0.15 // share of trips refused at which the router sees overload
-	troubleOff   = 0.05
-	troubleStep  = 0.02
-)
-
-// State is where a visit stands.
-type State uint8
-
-const (
-	Vacant State = iota
-	Arrived
-	OnTrip
-	Between // all trips ended, none delivered
-	Streaming
-	Answered // may still be owed the ends of its trips
-	Released
+	tripsMost    = 3      // one and up to two further ones
+	answerMargin = 4 * ms // a trip ends this long before the client's time is up
+	spillOver    = 1.25   // load over the branch's mean at which the home cache passes visits on
+	spillFree    = 3.0    // visits in hand that never count as crowding
+
+	tripsFirst = 24.0 // limits at the start
+	fillsFirst = 16.0
+	linkFirst  = 2.0 // times the transfers that fit the branch's link at full pace
+	limitLeast = 3.0
+	limitCut   = 0.7
+	cutPause   = 300 * ms // one cut for one jam
+	cheapShare = 0.5      // of the link's limit, for the visits that are worth least for their bytes
+
+	restFirst   = 300 * ms
+	restMost    = 4 * second
+	sourceFails = 5        // failures in a row after which a source rests
+	quickWeight = 0.1      // of one sample in a source's quickness
+	quickTie    = 1.3      // sources nearer than this are equally quick: the hash decides
+	quickBase   = 20_000.0 // added to both
+
+	budgetRate  = 0.6 // of a cold cache's allowance, as a steady rate
+	budgetBurst = 0.3 // of one window's allowance, at once
+	budgetFloor = 0.5 // work a second that all routers may send before the load of its kind is known
+	bearWeight  = 0.05
+
+	tickEvery   = 250 * ms
+	troubleOn   = 0.15 // share of trips refused or too slow at which the router sees overload
+	troubleOff  = 0.05
+	troubleStep = 0.02
 )
 
 var follows = [...][]State{
@@ -76,134 +71,22 @@
 	Between: {OnTrip, Answered}, Streaming: {Answered}, Answered: {Released}, Released: {},
 }
 
-type trip struct {
-	cache, source CacheID
-	sent          Micros
-	rank          int
-	ended         bool
-}
-
-type visit struct {
-	Asked
-	id         VisitID
-	state      State
-	key        uint64 // of the object's part
-	ends, aim  Micros
-	work       Micros // its own sending time
-	trips      [1 + furtherTrips]trip
-	n, out     int
-	ran        bool // some trip may have run
-	ranSince   Micros
-	ranAt      CacheID
-	fillFailed bool
-}
-
-// cache is what the router holds of one cache, parent or the origin.
-type cache struct {
-	Listed
-	listed     bool
-	inHand     int     // this router's trips there (a source: its trips that may fill from it)
-	limit      float64 // on inHand
-	cutAt      Micros
-	strikes    int
-	restUntil  Micros
-	lastGood   Micros
-	load       float64 // visits held there, by its own report
-	quick      float64 // smoothed time that a fill from it takes beyond its bytes
-	bucket     float64 // cold budget left, in seconds of work
-	bucketAt   Micros
-	fails      int
-	sourceRest Micros
-}
-
-// Router decides for one instance.
-type Router struct {
-	now     Micros
-	desk    Desk
-	cases   []UseCase
-	branch  Branch
-	leave   Leave
-	cold    [2]ColdStart // by tier: Edge, Parent
-	purge   Purges
-	visits  slab.Slab[visit]
-	ledger  ledger
-	caches  []cache
-	edges   []CacheID // of the own zone, parents and origin apart, in the order told
-	parents []CacheID
-	origin  CacheID
-	order   []ranked // scratch of byHash
-	work    []float64
-	borne   [2]float64 // work a second that one warm cache of a tier delivers for this router
-	done    [2]float64 // since the last tick
-	trouble float64
-	heavy   bool
-	ticking bool
-	relist  Micros
-	marks   map[uint64]Micros // purge marks: object or group, to the time of the purge
-	seed    uint32
-	drawn   uint32
-}
-
-type ranked struct {
-	score uint64
-	id    CacheID
-}
-
 // New makes a router from what is told at start.
 func New(seed uint32, desk Desk, cases []UseCase, _ []Tenant, branch Branch, leave Leave,
 	edge, parent ColdStart, purges Purges) *Router {
 	r := &Router{desk: desk, cases: cases, branch: branch, leave: leave, cold: [2]ColdStart{edge, parent},
 		purge: purges, origin: NoCache, marks: map[uint64]Micros{}, seed: seed,
-		work: make([]float64, len(cases)), ledger: newLedger(tableMost)}
-	return r
-}
-
-// Clock tells the time; it never goes back.
-func (r *Router) Clock(now Micros) { r.now = now }
-
-// chance draws from 0 up to 1.
-func (r *Router) chance() float64 {
-	r.drawn++
-	b := [8]byte{byte(r.seed >> 24), byte(r.seed >> 16), byte(r.seed >> 8), byte(r.seed),
-		byte(r.drawn >> 24), byte(r.drawn >> 16), byte(r.drawn >> 8), byte(r.drawn)}
-	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
-}
-
-// move is the one place where a visit changes its state; it says whether the change is legal.
-func (r *Router) move(v *visit, to State) bool {
-	for _, s := range follows[v.state] {
-		if s == to {
-			v.state = to
-			return true
-		}
+		work: make([]float64, len(cases)), ledger: ledger{objects: table.New[object](tableMost)}}
+	r.mark = func(id CacheID) uint64 { return r.caches[id].Mark }
+	r.link.most = fillsFirst
+	if z := int(branch.Zone); z < len(branch.LinksKB) && branch.LinksKB[z] > 0 && branch.PaceKB > 0 {
+		r.link.most = linkFirst * branch.LinksKB[z] / branch.PaceKB / float64(max(branch.Crew, 1))
 	}
-	return false
+	return r
 }
 
 // ---- The design: what is learned of each object ----
 
-type object struct {
-	gap, rate float64 // smoothed: seconds between visits, updates a second
-	seen      Micros
-	fetched   Micros
-	updates   int // purge notices since the last fetch
-	purged    bool
-	kept      CacheID // where a copy was last seen, or NoCache
-	run       Micros  // that cache's start
-	keptAt    Micros
-	timer     Micros
-}
-
-type ledger struct {
-	objects *table.Table[object]
-	share   float64 // smoothed share of kept copies missing within their timer
-	alpha   float64
-	largest float64 // smoothed gap of the seldomest object
-	typical float64 // smoothed logarithm of the gap, by visits
-}
-
-func newLedger(most int) ledger { return ledger{objects: table.New[object](most)} }
-
 // visited counts a visit: the first observed gap is the first estimate.
 func (l *ledger) visited(key uint64, now Micros) *object {
 	o, made := l.objects.Touch(key)
@@ -239,7 +122,7 @@
 	if o.gap == 0 { // a new object: the default age, the middle rank
 		return 2, fresh
 	}
-	rate := l.rate(o, fresh)
+	rate := o.updateRate(fresh)
 	if fresh > 0 {
 		oldest = min(max(micros(timer(o.gap, rate, 0)), fresh), fresh+grace)
 	}
@@ -254,28 +137,26 @@
 	return 1, oldest
 }
 
-func (l *ledger) rate(o *object, fresh Micros) float64 {
+// updateRate counts one update a fresh time for an object that gets no purge notices.
+func (o *object) updateRate(fresh Micros) float64 {
 	if !o.purged && fresh > 0 {
 		return 1 / seconds(fresh)
 	}
 	return o.rate
 }
 
-// kept notes where a copy lies after a fill, or a hit that showed one; the timer starts with the fill.
-func (l *ledger) kept(o *object, c *cache, filled bool, fresh, now Micros) {
-	if filled && o.purged {
-		if t := seconds(now - o.fetched); o.fetched > 0 && t > 0 {
+// keep notes where a copy lies after a fill, or a hit that showed one; the timer starts with the fill.
+func (l *ledger) keep(o *object, c *cache, filled bool, fresh, now Micros) {
+	if filled {
+		if t := seconds(now - o.fetched); o.purged && o.fetched > 0 && t > 0 {
 			o.rate += theta * (float64(o.updates)/t - o.rate)
 		}
-		o.updates = 0
-	}
-	if filled {
-		o.fetched = now
+		o.updates, o.fetched = 0, now
 	}
 	if filled || o.kept != c.ID || o.run != c.Started {
 		o.kept, o.run, o.keptAt = c.ID, c.Started, now
 	}
-	o.timer = micros(timer(o.gap, l.rate(o, fresh), l.alpha))
+	o.timer = micros(timer(o.gap, o.updateRate(fresh), l.alpha))
 }
 
 // met counts a visit at a cache that should hold a copy still; alpha follows the share that did not.
@@ -291,6 +172,14 @@
 	}
 }
 
+// holds tells whether a cache should hold a copy for this visit still.
+func (r *Router) holds(v *visit, o *object, c *cache) bool {
+	at, purged := r.purgedAt(v)
+	fresh := r.cases[v.UseCase].Fresh
+	return o != nil && o.kept == c.ID && o.run == c.Started && r.now-o.keptAt < o.timer &&
+		!(purged && at > o.keptAt) && (fresh == 0 || r.now-o.keptAt < fresh)
+}
+
 // ---- What happens ----
 
 // List takes a list of caches, whole or only what changed.
@@ -300,13 +189,16 @@
 			r.caches[i].listed = false
 		}
 	}
+	anew := cache{trips: limit{most: tripsFirst}, fills: limit{most: fillsFirst}, load: -1}
 	for _, x := range list {
 		for len(r.caches) <= int(x.ID) {
-			r.caches = append(r.caches, cache{limit: limitFirst, load: -1})
+			r.caches = append(r.caches, anew)
 		}
 		c := &r.caches[x.ID]
 		if x.Started != c.Started { // a new process: what was learned of the old one is void
-			*c = cache{limit: limitFirst, load: -1, inHand: c.inHand, quick: c.quick}
+			was := *c
+			*c = anew
+			c.trips.inUse, c.fills.inUse, c.quick = was.trips.inUse, was.fills.inUse, was.quick
 		}
 		c.Listed, c.listed = x, x.Standing != Gone
 	}
@@ -348,23 +240,27 @@
 func (r *Router) Arrive(a Asked) {
 	id, v := r.visits.Take()
 	*v = visit{Asked: a, id: id, ranAt: NoCache}
-	r.move(v, Arrived)
+	v.move(Arrived)
 	r.desk.Taken(id)
 	use := &r.cases[a.UseCase]
 	v.Write = a.Write || use.Write
 	v.key = mix.Pair(uint64(a.Object), uint64(a.Part))
+	mean := &r.work[a.UseCase]
 	if r.branch.PaceKB > 0 && a.KB > 0 {
-		v.work = Micros(a.KB / r.branch.PaceKB * 1e6)
-		r.learnWork(a.UseCase, v.work)
+		v.work = micros(a.KB / r.branch.PaceKB)
+		if *mean == 0 {
+			*mean = seconds(v.work)
+		}
+		*mean += theta * (seconds(v.work) - *mean)
 	} else {
-		v.work = micros(r.work[a.UseCase])
+		v.work = micros(*mean)
 	}
 	v.ends = r.now + a.Left - answerMargin
 	v.aim = min(r.now+use.Expected+Micros(use.Stretch*float64(v.work)), v.ends)
 	if !v.Write {
 		o := r.ledger.visited(v.key, r.now)
 		if at, ok := r.purgedAt(v); ok && at > o.fetched && o.updates == 0 {
-			o.updates, o.purged = o.updates+1, true
+			o.updates, o.purged = 1, true
 		}
 	}
 	r.proceed(v)
@@ -373,28 +269,22 @@
 // Started tells that a streamed answer has begun: no clock of ours runs for it any longer.
 func (r *Router) Started(id VisitID, _ TripNo) {
 	if v := r.visits.Get(id); v != nil {
-		r.move(v, Streaming)
+		v.move(Streaming)
 	}
 }
 
 // Left tells that the client has gone; nothing more is owed.
 func (r *Router) Left(id VisitID) {
 	if v := r.visits.Get(id); v != nil {
-		r.move(v, Answered)
+		v.move(Answered)
 		r.release(v)
 	}
 }
 
-// Woke is a timer's call.
-func (r *Router) Woke() {
-	r.desk.Wake(r.now + tickEvery)
-	r.tick()
-}
-
 // Probed is the end of a probe.
 func (r *Router) Probed(id CacheID, ok bool, l Load) {
-	if ok {
-		r.reported(&r.caches[id], l)
+	if ok && l.InHand >= 0 {
+		r.caches[id].load = l.InHand
 	}
 }
 
@@ -407,41 +297,29 @@
 	t := &v.trips[rep.Trip]
 	t.ended = true
 	v.out--
-	r.caches[t.cache].inHand--
-	if t.source != t.cache {
-		r.caches[t.source].inHand--
-	}
+	r.book(t, -1)
 	if !rep.Ending.ProvesUnrun() && rep.Ending != Delivered && !v.ran {
 		v.ran, v.ranSince, v.ranAt = true, t.sent, t.cache
 	}
 	r.observe(v, t, rep)
 	r.learn(v, t, rep)
 	if rep.Over {
-		r.move(v, Answered)
+		v.move(Answered)
 	}
 	if v.state == Answered {
 		r.release(v)
-		return
-	}
-	if v.out == 0 && r.move(v, Between) {
-		r.further(v, rep.Ending)
-	}
-}
-
-// release frees a visit's place once nothing is owed either way.
-func (r *Router) release(v *visit) {
-	if v.out == 0 && r.move(v, Released) {
-		r.desk.Release(v.id)
-		r.visits.Free(v.id)
+	} else if v.out == 0 && v.move(Between) {
+		r.further(v, t, rep.Ending)
 	}
 }
 
 // ---- What to do ----
 
 // further decides after a trip that did not deliver.
-func (r *Router) further(v *visit, end Ending) {
-	lacking := end == Lacking || end == NoRoute // costs little and says nothing of a crowd
-	if v.n >= min(len(v.trips), r.leave.Trips) || r.now >= v.ends || r.heavy && !lacking || !r.mayRepeat(v) {
+func (r *Router) further(v *visit, t *trip, end Ending) {
+	idle := end == Lacking || end == NoRoute // costs little and says nothing of a crowd
+	looked := end == Lacking && t.source == t.cache
+	if looked || v.n >= min(tripsMost, r.leave.Trips) || r.now >= v.ends || r.heavy && !idle || !r.mayRepeat(v) {
 		r.giveUp(v)
 		return
 	}
@@ -451,13 +329,10 @@
 // mayRepeat wards off a second effect: a trip that may have run binds those after it.
 func (r *Router) mayRepeat(v *visit) bool {
 	use := &r.cases[v.UseCase]
-	switch {
-	case !v.ran || use.Effect == Harmless:
+	if !v.ran || use.Effect == Harmless {
 		return true
-	case use.Effect == OneShot:
-		return false
 	}
-	return r.now-v.ranSince < use.Window-second/10
+	return use.Effect == Stamped && r.now-v.ranSince < use.Window-100*ms
 }
 
 // inReach tells whether a stamped visit's repeat would be known at this cache.
@@ -472,201 +347,189 @@
 
 // giveUp gives the final answer at once; only a deferral promises that trying again is harmless.
 func (r *Router) giveUp(v *visit) {
-	use := &r.cases[v.UseCase]
-	defer_ := r.now < v.ends
-	if v.ran && (use.Effect == OneShot || use.Effect == Stamped && use.Reach != Everywhere) {
-		defer_ = false
-	}
-	if !r.move(v, Answered) {
+	if !v.move(Answered) {
 		return
 	}
-	if defer_ {
+	use := &r.cases[v.UseCase]
+	if r.now >= v.ends || v.ran && (use.Effect == OneShot || use.Effect == Stamped && use.Reach != Everywhere) {
+		r.desk.Scrap(v.id)
+	} else {
 		comeback := Micros(0)
 		if r.leave.ToldComeback {
 			comeback = Micros(float64(r.leave.LongestComeback) * (0.5 + 0.5*r.chance()))
 		}
 		r.desk.Defer(v.id, comeback)
-	} else {
-		r.desk.Scrap(v.id)
 	}
 	r.release(v)
 }
 
 // proceed sends the next trip, or gives up where there is none to send.
 func (r *Router) proceed(v *visit) {
-	e, ok := r.plan(v)
-	if !ok || e.Until <= r.now {
+	e, mayFill, ok := r.plan(v)
+	if !ok || e.Until <= r.now || !v.move(OnTrip) {
 		r.giveUp(v)
 		return
 	}
-	if !r.move(v, OnTrip) {
-		return
-	}
-	v.trips[v.n] = trip{cache: e.Cache, source: e.Source, sent: r.now, rank: e.Rank}
+	t := &v.trips[v.n]
+	*t = trip{cache: e.Cache, source: e.Source, sent: r.now, rank: e.Rank, mayFill: mayFill}
 	v.n++
 	v.out++
-	r.spend(e.Cache, v)
-	if e.Source != e.Cache {
-		r.spend(e.Source, v)
+	r.book(t, 1)
+	for _, id := range [2]CacheID{e.Cache, e.Source} {
+		if c := &r.caches[id]; r.isCold(c) && (id == e.Cache || mayFill) {
+			c.bucket.Take(r.cost(v))
+		}
 	}
 	r.desk.Send(v.id, e)
 }
 
-// spend books a trip at a cache or source.
-func (r *Router) spend(id CacheID, v *visit) {
-	c := &r.caches[id]
-	c.inHand++
-	if r.isCold(c) {
-		c.bucket -= r.cost(v)
+// book enters a trip in the limits it counts in, or takes it out.
+func (r *Router) book(t *trip, n int) {
+	r.caches[t.cache].trips.inUse += n
+	if t.mayFill {
+		src := &r.caches[t.source]
+		src.fills.inUse += n
+		if src.Tier != Edge {
+			r.link.inUse += n
+		}
 	}
 }
 
 // plan is the ordinary path: the design's age and rank, the hashed cache, the quicker source.
-func (r *Router) plan(v *visit) (Errand, bool) {
+func (r *Router) plan(v *visit) (e Errand, mayFill, ok bool) {
 	use := &r.cases[v.UseCase]
-	e := Errand{Until: v.ends, Rank: 0, Join: r.leave.Join && !v.Write}
+	e = Errand{Until: v.ends, Join: r.leave.Join && !v.Write}
 	var o *object
 	if !v.Write {
+		e.Rank, e.Oldest = 2, use.Fresh
 		if o = r.ledger.objects.Peek(v.key); o != nil {
 			e.Rank, e.Oldest = r.ledger.judge(o, use.Fresh, use.Grace)
-		} else {
-			e.Rank, e.Oldest = 2, use.Fresh
 		}
 		e.Renew = use.Fresh > 0 && e.Rank > 0
-		if at, ok := r.purgedAt(v); ok { // wards off copies older than a purge, from its notice on
-			age := max(r.now-at-1000, 1)
-			if e.Oldest == 0 || age < e.Oldest {
+		if at, purged := r.purgedAt(v); purged { // wards off copies older than a purge, from its notice on
+			if age := max(r.now-at-ms, 1); e.Oldest == 0 || age < e.Oldest {
 				e.Oldest = age
 			}
 		}
 	}
-	if use.Effect == Harmless && v.n < furtherTrips {
-		e.Until = min(v.ends, max(v.aim, r.now+(v.ends-r.now)*6/10))
-	}
-	e.Cache = r.pickEdge(v)
-	if e.Cache == NoCache {
+	var crowded bool
+	if e.Cache, crowded = r.pickEdge(v); e.Cache == NoCache {
+		if crowded { // the branch's link is as full as its caches: a way round them only moves the jam
+			return e, false, false
+		}
 		return r.straight(v, e)
 	}
 	e.Source = r.pickSource(v, o, e.Cache)
 	if v.Write && e.Source == e.Cache {
 		return r.straight(v, e)
 	}
-	return e, true
+	return e, e.Source != e.Cache && !r.holds(v, o, &r.caches[e.Cache]), true
 }
 
-// straight passes the branch's caches by, where the site lets it.
-func (r *Router) straight(v *visit, e Errand) (Errand, bool) {
-	if !r.leave.Direct || r.origin == NoCache {
-		return e, false
+// straight passes the branch's caches by where none of them is up, if the site lets it.
+func (r *Router) straight(v *visit, e Errand) (Errand, bool, bool) {
+	if !r.leave.Direct || r.origin == NoCache || !r.usable(&r.caches[r.origin]) || !r.linkFree(v) {
+		return e, false, false
 	}
-	e.Rank, e.Renew = 0, false
-	e.Source = r.origin
+	e.Rank, e.Renew, e.Source = 0, false, r.origin
 	if e.Cache = r.pickParent(v); e.Cache == NoCache {
 		e.Cache = r.origin
-		if !r.room(&r.caches[r.origin]) {
-			return e, false
-		}
-	}
-	return e, r.inReach(v, &r.caches[e.Cache])
-}
-
-// byHash orders caches for a key: highest hash first, so one that comes or goes moves only its own objects.
-func (r *Router) byHash(key uint64, ids []CacheID) []ranked {
-	r.order = r.order[:0]
-	for _, id := range ids {
-		x := ranked{mix.Pair(key, r.caches[id].Mark), id}
-		i := len(r.order)
-		r.order = append(r.order, x)
-		for ; i > 0 && r.order[i-1].score < x.score; i-- {
-			r.order[i] = r.order[i-1]
-		}
-		r.order[i] = x
 	}
-	return r.order
+	c := &r.caches[e.Cache]
+	return e, true, r.inReach(v, c) && c.trips.free()
 }
 
 // pickEdge takes the object's hashed cache, or the next along the hash order that is not crowded.
-func (r *Router) pickEdge(v *visit) CacheID {
+func (r *Router) pickEdge(v *visit) (best CacheID, crowded bool) {
 	mean := 0.0
 	for _, id := range r.edges {
 		mean += r.loadOf(&r.caches[id]) / float64(len(r.edges))
 	}
-	second := NoCache
-	for _, x := range r.byHash(v.key, r.edges) {
-		c := &r.caches[x.id]
-		if !r.usable(c) || !r.room(c) || !r.inReach(v, c) || !r.affords(c, v) || r.triedAt(v, x.id) {
+	best = NoCache
+	for _, id := range r.order.By(v.key, r.edges, r.mark) {
+		c := &r.caches[id]
+		if !r.usable(c) || !r.inReach(v, c) || !v.fillFailed && v.triedAt(id) {
 			continue
 		}
-		if r.loadOf(c) <= mean*spillOver+spillFree {
-			return x.id
+		if !c.trips.free() || !r.affords(c, v) {
+			crowded = crowded || !r.isCold(c)
+			continue
 		}
-		if second == NoCache {
-			second = x.id
+		if r.loadOf(c) <= mean*spillOver+spillFree {
+			return id, false
 		}
-	}
-	return second
-}
-
-func (r *Router) triedAt(v *visit, id CacheID) bool {
-	for _, t := range v.trips[:v.n] {
-		if t.cache == id && !v.fillFailed {
-			return true
+		if best == NoCache {
+			best = id
 		}
 	}
-	return false
+	return best, crowded
 }
 
 // pickSource names where a miss is filled from; the cache itself means nowhere.
 func (r *Router) pickSource(v *visit, o *object, edge CacheID) CacheID {
 	if o != nil && r.leave.Siblings && v.n == 0 && o.kept != NoCache && o.kept != edge {
-		c := &r.caches[o.kept]
-		if r.usable(c) && c.Started == o.run && r.room(c) && r.affords(c, v) && r.now-o.keptAt < o.timer {
+		if c := &r.caches[o.kept]; r.usable(c) && r.holds(v, o, c) && c.trips.free() && r.affords(c, v) {
 			return o.kept
 		}
 	}
+	if !r.linkFree(v) && !r.holds(v, o, &r.caches[edge]) {
+		return edge
+	}
 	if p := r.pickParent(v); p != NoCache {
 		return p
 	}
+	for _, id := range r.parents { // crowded parents are up: the origin stands behind them and would jam too
+		if r.usable(&r.caches[id]) && r.caches[id].sourceRest <= r.now && !r.isCold(&r.caches[id]) {
+			return edge
+		}
+	}
 	if r.origin != NoCache {
-		if c := &r.caches[r.origin]; c.Standing == Up && r.room(c) {
+		if c := &r.caches[r.origin]; c.Standing == Up && (c.fills.free() || v.Write) {
 			return r.origin
 		}
 	}
 	return edge
 }
 
+// linkFree tells whether the branch's link takes one more fill. When it fills up, the visits that are worth
+// least for their bytes are the first to be turned to what is held: one large object outweighs many small.
+func (r *Router) linkFree(v *visit) bool {
+	if v.Write {
+		return true
+	}
+	share := 1.0
+	if mean := r.cost(v); seconds(v.work) > 2*mean {
+		share = cheapShare
+	}
+	return float64(r.link.inUse) < share*r.link.most
+}
+
 // pickParent takes the quicker of the object's two hashed parents that are up.
 func (r *Router) pickParent(v *visit) CacheID {
-	best, second := NoCache, NoCache
-	for _, x := range r.byHash(v.key, r.parents) {
-		c := &r.caches[x.id]
-		if !r.usable(c) || c.sourceRest > r.now || !r.affords(c, v) {
+	best := NoCache
+	for _, id := range r.order.By(v.key, r.parents, r.mark) {
+		c := &r.caches[id]
+		if !r.usable(c) || c.sourceRest > r.now || !r.affords(c, v) || !c.fills.free() && !v.Write {
 			continue
 		}
 		if best == NoCache {
-			best = x.id
-		} else {
-			second = x.id
-			break
+			best = id
+			continue
 		}
-	}
-	if second != NoCache {
-		a, b := r.caches[best].quick+quickBase, r.caches[second].quick+quickBase
-		if b*quickTie < a {
-			return second
+		if (c.quick+quickBase)*quickTie < r.caches[best].quick+quickBase {
+			best = id
 		}
+		break
 	}
 	return best
 }
 
 func (r *Router) usable(c *cache) bool {
-	return c.listed && c.Standing == Up && c.restUntil <= r.now && (c.strikes == 0 || c.inHand == 0)
+	return c.listed && c.Standing == Up && c.restUntil <= r.now && (c.strikes == 0 || c.trips.inUse == 0)
 }
 
-func (r *Router) room(c *cache) bool { return float64(c.inHand) < c.limit }
-
 func (r *Router) loadOf(c *cache) float64 {
-	l := math.Max(float64(c.inHand), c.load)
+	l := math.Max(float64(c.trips.inUse), c.load)
 	if c.Weight > 0 {
 		l /= c.Weight
 	}
@@ -675,8 +538,8 @@
 
 // ---- Guards ----
 
-// isCold and affords ward off pushing a just-started cache over: each router sends it no more than the
-// multiple allows on top of what a warm one of its kind bears from this router, which all routers can do at once.
+// isCold and affords ward off pushing a just-started cache over: each router sends it no more than a part of
+// what the rule's multiple allows of the load that a warm one bears from this router; all may do so at once.
 func (r *Router) isCold(c *cache) bool {
 	return c.Tier != Origin && c.Started > 0 && r.now-c.Started < r.cold[c.Tier].Ramp
 }
@@ -692,43 +555,23 @@
 		crew = r.branch.Fleet
 	}
 	rate := math.Max(s.Multiple*part*r.borne[c.Tier], budgetFloor/float64(max(crew, 1)))
-	burst := math.Max(rate*seconds(s.Window)*budgetBurst, r.cost(v))
-	if c.bucketAt == 0 {
-		c.bucketAt = c.Started
-	}
-	c.bucket = math.Min(burst, c.bucket+rate*budgetRate*seconds(r.now-c.bucketAt))
-	c.bucketAt = r.now
-	return c.bucket >= r.cost(v)
+	brim := math.Max(rate*seconds(s.Window)*budgetBurst, r.cost(v))
+	return c.bucket.Fill(seconds(r.now), rate*budgetRate, brim) >= r.cost(v)
 }
 
 // cost is a visit's weight in a cold budget: its use case's mean sending time.
 func (r *Router) cost(v *visit) float64 { return math.Max(r.work[v.UseCase], 0.001) }
 
-func (r *Router) learnWork(u UseCaseID, w Micros) {
-	if r.work[u] == 0 {
-		r.work[u] = seconds(w)
-	}
-	r.work[u] += theta * (seconds(w) - r.work[u])
-}
-
-// purgedAt finds the last purge that a visit's copy must be younger than.
-func (r *Router) purgedAt(v *visit) (Micros, bool) {
-	at, ok := r.marks[uint64(v.Object)]
-	if g, too := r.marks[groupKey(v.Group)]; too && (!ok || g > at) {
-		at, ok = g, true
-	}
-	return at, ok
-}
-
 // observe takes what a trip's end says of its cache and source.
 func (r *Router) observe(v *visit, t *trip, rep Report) {
-	c := &r.caches[t.cache]
-	r.reported(c, rep.Load)
-	bad := 0.0
-	var src *cache
-	if t.source != t.cache {
-		src = &r.caches[t.source]
+	c, src := &r.caches[t.cache], &r.caches[t.source]
+	filling := t.source != t.cache
+	if rep.Load.InHand >= 0 {
+		c.load = rep.Load.InHand
 	}
+	filled := rep.Trace == Filled || rep.Trace == FilledByOrigin
+	late := r.now > v.aim
+	jam := 0.0
 	v.fillFailed = false
 	switch rep.Ending {
 	case Delivered:
@@ -739,68 +582,61 @@
 		if c.Tier != Origin && !r.isCold(c) {
 			r.done[c.Tier] += r.cost(v)
 		}
-		if late := r.now > v.aim; late && rep.Trace == Hit {
-			r.cut(c)
-		} else if !late && float64(c.inHand) > c.limit/2 {
-			c.limit++
-		}
-		if src != nil && (rep.Trace == Filled || rep.Trace == FilledByOrigin) {
-			extra := math.Max(0, float64(rep.Elapsed-v.work))
-			src.quick += quickWeight * (extra - src.quick)
+		if filled && filling {
+			src.quick += quickWeight * (math.Max(0, float64(rep.Elapsed-v.work)) - src.quick)
 			src.fails, src.lastGood = 0, r.now
 			if src.Tier == Parent && !r.isCold(src) {
 				r.done[Parent] += r.cost(v)
 			}
-			if r.now <= v.aim && float64(src.inHand) > src.limit/2 {
-				src.limit++
+			r.adjust(&src.fills, !late)
+			r.adjust(&r.link, !late)
+		} else {
+			r.adjust(&c.trips, !late)
+			if filling && t.mayFill && r.isCold(src) {
+				src.bucket.Take(-r.cost(v))
 			}
-		} else if src != nil && r.isCold(src) && (rep.Trace == Hit || rep.Trace == Joined) {
-			src.bucket += r.cost(v)
 		}
-	case Refused:
-		bad = 1
-		v.fillFailed = src != nil && rep.Trace != NoPlace
-		if v.fillFailed {
-			r.failedSource(src)
-		}
-		if rep.Trace == NoTrace || rep.Trace == NoPlace {
-			r.cut(c)
+	case Refused, Failed:
+		v.fillFailed = filling && rep.Trace != NoPlace
+		if rep.Ending == Refused {
+			jam = 1
 		}
-	case Failed:
-		if src != nil {
+		if v.fillFailed {
 			r.failedSource(src)
+		} else if rep.Ending == Refused {
+			r.adjust(&c.trips, false)
 		}
 	case NoRoute, Broken:
 		r.strike(c)
 	case TooSlow:
-		bad = 1
-		if c.lastGood < t.sent { // silent: nothing came from it since
+		jam = 1
+		switch {
+		case c.lastGood < t.sent: // silent: nothing came from it since
 			r.strike(c)
-		} else {
-			r.cut(c)
-		}
-		if src != nil {
+		case t.mayFill:
 			r.failedSource(src)
+			r.adjust(&r.link, false)
+		default:
+			r.adjust(&c.trips, false)
 		}
 	case Lacking:
 		v.fillFailed = true
 	}
-	r.trouble += troubleStep * (bad - r.trouble)
+	r.trouble += troubleStep * (jam - r.trouble)
 	if r.heavy != (r.trouble > troubleOn || r.heavy && r.trouble > troubleOff) {
 		r.heavy = !r.heavy
 		r.desk.Note(fmt.Sprintf("overload %v: %.2f of trips in trouble", r.heavy, r.trouble))
 	}
 }
 
-func (r *Router) reported(c *cache, l Load) {
-	if l.InHand >= 0 {
-		c.load = l.InHand
-	}
-}
-
-func (r *Router) cut(c *cache) {
-	if r.now-c.cutAt >= cutPause {
-		c.limit, c.cutAt = math.Max(limitLeast, c.limit*limitCut), r.now
+// adjust moves a limit: up by one where it was in use and served in time, else cut by a share.
+func (r *Router) adjust(l *limit, good bool) {
+	if good {
+		if float64(l.inUse+1) > l.most/2 {
+			l.most++
+		}
+	} else if r.now-l.cutAt >= cutPause {
+		l.most, l.cutAt = math.Max(limitLeast, l.most*limitCut), r.now
 	}
 }
 
@@ -811,42 +647,31 @@
 	rest := min(restFirst<<c.strikes, restMost)
 	c.strikes = min(c.strikes+1, 8)
 	c.restUntil = r.now + rest
-	r.desk.Note(fmt.Sprintf("cache %d rests %dms after strike %d", c.ID, rest/1000, c.strikes))
+	r.desk.Note(fmt.Sprintf("cache %d rests %dms after strike %d", c.ID, rest/ms, c.strikes))
 }
 
 func (r *Router) failedSource(c *cache) {
-	c.fails++
-	if c.Tier == Origin {
-		r.cut(c)
-		return
-	}
-	if c.fails >= sourceFails {
-		c.fails = 0
-		c.sourceRest = r.now + 2*restFirst
+	r.adjust(&c.fills, false)
+	if c.fails++; c.fails >= sourceFails && c.Tier == Parent && r.now-c.lastGood > second {
+		c.fails, c.sourceRest = 0, r.now+2*restFirst
 		r.desk.Note(fmt.Sprintf("source %d rests after %d failures", c.ID, sourceFails))
 	}
 }
 
 // learn feeds the design with what a trip's end shows of the object.
 func (r *Router) learn(v *visit, t *trip, rep Report) {
-	if v.Write {
-		return
-	}
 	o := r.ledger.objects.Peek(v.key)
-	if o == nil {
+	if v.Write || o == nil {
 		return
 	}
-	use, c := &r.cases[v.UseCase], &r.caches[t.cache]
+	c := &r.caches[t.cache]
 	filled := rep.Trace == Filled || rep.Trace == FilledByOrigin
-	hit := rep.Trace == Hit || rep.Trace == PastFresh
-	if c.Tier == Edge && rep.Ending == Delivered && (filled || hit) {
-		at, purged := r.purgedAt(v)
-		if o.kept == c.ID && o.run == c.Started && t.sent-o.keptAt < o.timer && !(purged && at > o.keptAt) &&
-			(use.Fresh == 0 || t.sent-o.keptAt < use.Fresh) {
+	if c.Tier == Edge && rep.Ending == Delivered && (filled || rep.Trace == Hit || rep.Trace == PastFresh) {
+		if r.holds(v, o, c) {
 			r.ledger.met(filled)
 		}
 		if t.rank > 0 {
-			r.ledger.kept(o, c, filled, use.Fresh, r.now)
+			r.ledger.keep(o, c, filled, r.cases[v.UseCase].Fresh, r.now)
 		} else if filled && o.kept == c.ID {
 			o.kept = NoCache
 		}
@@ -856,8 +681,9 @@
 	}
 }
 
-// tick does what is due now and then.
-func (r *Router) tick() {
+// Woke is a timer's call: what is due now and then.
+func (r *Router) Woke() {
+	r.desk.Wake(r.now + tickEvery)
 	for tier, ids := range [2][]CacheID{r.edges, r.parents} {
 		warm := 0
 		for _, id := range ids {
@@ -883,14 +709,3 @@
 		}
 	}
 }
-
-func groupKey(g GroupID) uint64 { return mix.Pair(uint64(g), 0x67726f7570) }
-
-func seconds(t Micros) float64 { return float64(t) / 1e6 }
-
-func micros(s float64) Micros {
-	if s > 1e9 {
-		return Micros(1e15)
-	}
-	return Micros(math.Round(s * 1e6))
-}
--- /dev/null
+++ b/decide/decide_test.go
@@ -0,0 +1,189 @@
+package decide
+
+import (
+	"flag"
+	"math"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// The random runs are the same every time.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261201")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// Seeded random runs: whatever comes, the rules hold after every step and nothing stays behind.
+func TestRulesInRandomRuns(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		leave := plainLeave
+		leave.Direct = rapid.Bool().Draw(rt, "direct")
+		leave.Siblings = rapid.Bool().Draw(rt, "siblings")
+		leave.Trips = rapid.IntRange(1, 6).Draw(rt, "trips")
+		d := bench(nil, leave)
+		var visits []VisitID
+		for range rapid.IntRange(20, 120).Draw(rt, "steps") {
+			d.r.Clock(d.r.now + Micros(rapid.IntRange(1, 400_000).Draw(rt, "pause")))
+			for i := 0; i < len(d.out); i++ { // the world ends trips whose time is up
+				if d.out[i].Until <= d.r.now {
+					d.end(i, Report{Ending: TooSlow, Load: Untold})
+					i = -1
+				}
+			}
+			switch step := rapid.IntRange(0, 9).Draw(rt, "step"); {
+			case step <= 3:
+				a := video(rapid.IntRange(0, 6).Draw(rt, "object"))
+				a.UseCase = UseCaseID(rapid.IntRange(0, 3).Draw(rt, "use"))
+				a.Left = Micros(rapid.IntRange(0, 3_000_000).Draw(rt, "left"))
+				visits = append(visits, d.arrive(a))
+			case step <= 6 && len(d.out) > 0:
+				i := rapid.IntRange(0, len(d.out)-1).Draw(rt, "trip")
+				e := Ending(rapid.IntRange(0, int(Lacking)).Draw(rt, "ending"))
+				d.end(i, Report{Ending: e, Trace: Trace(rapid.IntRange(0, int(OriginFailed)).Draw(rt, "trace")), Load: Untold})
+			case step == 7:
+				x := fleet()[rapid.IntRange(0, 6).Draw(rt, "cache")]
+				x.Standing = Standing(rapid.IntRange(0, 2).Draw(rt, "standing"))
+				x.Started = Micros(rapid.SampledFrom([]int{0, int(d.r.now)}).Draw(rt, "started"))
+				d.list(x)
+			case step == 8:
+				d.r.Purged(ObjectID(0x9e3779b97f4a7c15), 0, rapid.Bool().Draw(rt, "whole"), 50*ms)
+			case len(visits) > 0:
+				v := rapid.SampledFrom(visits).Draw(rt, "leaver")
+				if d.answers[v] == 0 {
+					d.left[v] = true
+					d.answers[v]++
+					d.r.Left(v)
+				}
+			}
+			d.r.Woke()
+			d.check(rt)
+		}
+		for len(d.out) > 0 {
+			d.end(0, Report{Ending: Delivered, Load: Untold})
+		}
+		d.check(rt)
+		for _, v := range visits {
+			if d.answers[v] != 1 {
+				rt.Fatalf("visit has %d final answers", d.answers[v])
+			}
+		}
+		if d.r.visits.Len() != 0 || d.released != len(visits) || d.r.link.inUse != 0 {
+			rt.Fatalf("%d visits stay behind, link %d", d.r.visits.Len(), d.r.link.inUse)
+		}
+	})
+}
+
+// The closed form stands against its guards: rate 0, negative gain, no gap.
+func TestTimer(t *testing.T) {
+	want := 10 * (math.Sqrt(1+2/(costAge*0.125*10)) - 1)
+	if got := timer(10, 0.125, 0); math.Abs(got-want) > 1e-9 {
+		t.Fatalf("timer %v, want %v", got, want)
+	}
+	if timer(10, 0.125, 0.2) != 0 || !math.IsInf(timer(10, 0, 0), 1) || !math.IsInf(timer(0, 1, 0), 1) {
+		t.Fatal("guards of the closed form")
+	}
+}
+
+// Shorter gaps rank higher, a newcomer gets the middle rank, and a zero timer passes through unkept.
+func TestRanksFollowGaps(t *testing.T) {
+	d := bench(t, plainLeave)
+	l := &d.r.ledger
+	l.typical = math.Log(5)
+	for gap, want := range map[float64]int{0: 2, 1: 3, 7: 2, 60: 1} {
+		if rank, _ := l.judge(&object{gap: gap}, 0, 0); rank != want {
+			t.Errorf("gap %v ranks %d, want %d", gap, rank, want)
+		}
+	}
+	l.alpha = 1.0 / 30
+	if rank, _ := l.judge(&object{gap: 60}, 0, 0); rank != 0 {
+		t.Errorf("a zero timer is kept at rank %d", rank)
+	}
+}
+
+// Copies missing within their timer drive alpha up; without any it is zero.
+func TestAlphaFollowsMissShare(t *testing.T) {
+	l := &ledger{largest: 40}
+	for range 2000 {
+		l.met(true)
+	}
+	if l.alpha < 0.2 {
+		t.Fatalf("alpha %v", l.alpha)
+	}
+	for range 2000 {
+		l.met(false)
+	}
+	if l.alpha != 0 {
+		t.Fatalf("alpha %v", l.alpha)
+	}
+}
+
+// After a purge the accepted age is positive and counts from the purge, not from its notice.
+func TestPurgedCopiesAreNotAccepted(t *testing.T) {
+	d := bench(t, plainLeave)
+	d.r.Purged(video(3).Object, 0, false, 200*ms)
+	d.r.Clock(d.r.now + 300*ms)
+	d.arrive(video(3))
+	if got := d.out[0].Oldest; got <= 0 || got > 500*ms {
+		t.Fatalf("oldest %v", got)
+	}
+}
+
+// A branch whose caches are crowded keeps off the parents: going straight there only moves the jam.
+func TestCrowdedBranchDoesNotGoStraight(t *testing.T) {
+	d := bench(t, plainLeave)
+	for i := range 500 {
+		d.arrive(video(i))
+	}
+	for _, s := range d.out {
+		if d.told[s.Cache].Tier != Edge {
+			t.Fatal("sent straight past crowded caches")
+		}
+	}
+	if d.deferred == 0 {
+		t.Fatal("no limit was met")
+	}
+}
+
+// A full link leaves a visit what its cache holds: it is sent to look, and no fill is named.
+func TestFullLinkOnlyLooks(t *testing.T) {
+	d := bench(t, plainLeave)
+	d.r.link.most = 1
+	d.arrive(video(1))
+	d.arrive(video(2))
+	if a, b := d.out[0].Errand, d.out[1].Errand; a.Source == a.Cache || b.Source != b.Cache {
+		t.Fatalf("%+v, then %+v", a, b)
+	}
+	d.end(1, Report{Ending: Lacking, Load: Untold})
+	if d.deferred != 1 {
+		t.Fatal("not deferred at once")
+	}
+}
+
+// A just-started cache and a just-started parent are sent a part of what the rule allows over any window.
+func TestColdBudget(t *testing.T) {
+	for _, id := range []CacheID{1, 4} {
+		d := bench(t, plainLeave)
+		d.r.borne = [2]float64{2, 2}
+		x := fleet()[id]
+		x.Started = d.r.now
+		d.list(x)
+		work := 0.0
+		for i := range 1500 {
+			d.r.Clock(d.r.now + ms)
+			d.arrive(video(i))
+			if s := d.out[len(d.out)-1]; s.Cache == id || s.Source == id {
+				work += 0.1
+			}
+			for len(d.out) > 0 {
+				d.end(0, Report{Ending: Delivered, Trace: Filled, Load: Untold})
+			}
+		}
+		if most := 2 * 0.3 * 2 * 1.5; work > most || work == 0 {
+			t.Errorf("cache %d was sent %.2f of work, the rule allows %.2f", id, work, most)
+		}
+	}
+}
--- /dev/null
+++ b/decide/state.go
@@ -0,0 +1,184 @@
+package decide
+
+import (
+	"hash/crc32"
+	"math"
+
+	"threadrun/internal/bucket"
+	"threadrun/internal/mix"
+	"threadrun/internal/place"
+	"threadrun/internal/slab"
+	"threadrun/internal/table"
+)
+
+// State is where a visit stands.
+type State uint8
+
+const (
+	Vacant State = iota
+	Arrived
+	OnTrip
+	Between // all trips ended, none delivered
+	Streaming
+	Answered // may still be owed the ends of its trips
+	Released
+)
+
+type trip struct {
+	cache, source CacheID
+	sent          Micros
+	rank          int
+	mayFill       bool
+	ended         bool
+}
+
+type visit struct {
+	Asked
+	id         VisitID
+	state      State
+	key        uint64 // of the object's part
+	ends, aim  Micros
+	work       Micros // its own sending time
+	trips      [tripsMost]trip
+	n, out     int
+	ran        bool // some trip may have run
+	ranSince   Micros
+	ranAt      CacheID
+	fillFailed bool // the last trip failed for its source, not its cache
+}
+
+// limit bounds what is in flight somewhere.
+type limit struct {
+	most  float64
+	inUse int
+	cutAt Micros
+}
+
+func (l *limit) free() bool { return float64(l.inUse) < l.most }
+
+// cache is what the router holds of one cache, parent or the origin.
+type cache struct {
+	Listed
+	listed     bool
+	trips      limit // sent to it
+	fills      limit // naming it as source, that may fill
+	strikes    int
+	restUntil  Micros
+	lastGood   Micros
+	load       float64 // visits held there, by its own report
+	quick      float64 // smoothed time that a fill from it takes beyond its bytes
+	bucket     bucket.Bucket
+	fails      int
+	sourceRest Micros
+}
+
+// object is what is learned of one part of an object.
+type object struct {
+	gap, rate float64 // smoothed: seconds between visits, updates a second
+	seen      Micros
+	fetched   Micros
+	updates   int // purge notices since the last fetch
+	purged    bool
+	kept      CacheID // where a copy was last seen, or NoCache
+	run       Micros  // that cache's start
+	keptAt    Micros
+	timer     Micros
+}
+
+// ledger is what is learned of the objects.
+type ledger struct {
+	objects *table.Table[object]
+	share   float64 // smoothed share of kept copies missing within their timer
+	alpha   float64
+	largest float64 // smoothed gap of the seldomest object
+	typical float64 // smoothed logarithm of the gap, by visits
+}
+
+// Router decides for one instance.
+type Router struct {
+	now     Micros
+	desk    Desk
+	cases   []UseCase
+	branch  Branch
+	leave   Leave
+	cold    [2]ColdStart // by tier: Edge, Parent
+	purge   Purges
+	visits  slab.Slab[visit]
+	ledger  ledger
+	caches  []cache
+	edges   []CacheID // of the own zone
+	parents []CacheID
+	origin  CacheID
+	order   place.Order[CacheID]
+	mark    func(CacheID) uint64
+	link    limit      // fills that come in over the branch's link
+	work    []float64  // mean sending time of each use case, in seconds
+	borne   [2]float64 // work a second that one warm cache of a tier delivers for this router
+	done    [2]float64 // since the last tick
+	trouble float64    // smoothed share of trips that met a crowd
+	heavy   bool       // the router sees overload
+	ticking bool
+	relist  Micros
+	marks   map[uint64]Micros // purge marks: object or group, to the time of the purge
+	seed    uint32
+	drawn   uint32
+}
+
+// Clock tells the time; it never goes back.
+func (r *Router) Clock(now Micros) { r.now = now }
+
+// chance draws from 0 up to 1.
+func (r *Router) chance() float64 {
+	r.drawn++
+	b := [8]byte{byte(r.seed >> 24), byte(r.seed >> 16), byte(r.seed >> 8), byte(r.seed),
+		byte(r.drawn >> 24), byte(r.drawn >> 16), byte(r.drawn >> 8), byte(r.drawn)}
+	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
+}
+
+// move is the one place where a visit changes its state; it says whether the change is legal.
+func (v *visit) move(to State) bool {
+	for _, s := range follows[v.state] {
+		if s == to {
+			v.state = to
+			return true
+		}
+	}
+	return false
+}
+
+func (v *visit) triedAt(id CacheID) bool {
+	for _, t := range v.trips[:v.n] {
+		if t.cache == id {
+			return true
+		}
+	}
+	return false
+}
+
+// release frees a visit's place once nothing is owed either way.
+func (r *Router) release(v *visit) {
+	if v.out == 0 && v.move(Released) {
+		r.desk.Release(v.id)
+		r.visits.Free(v.id)
+	}
+}
+
+// purgedAt finds the last purge that a visit's copy must be younger than.
+func (r *Router) purgedAt(v *visit) (Micros, bool) {
+	at, ok := r.marks[uint64(v.Object)]
+	if g, too := r.marks[groupKey(v.Group)]; too && (!ok || g > at) {
+		at, ok = g, true
+	}
+	return at, ok
+}
+
+func groupKey(g GroupID) uint64 { return mix.Pair(uint64(g), 0x67726f7570) }
+
+func seconds(t Micros) float64 { return float64(t) / 1e6 }
+
+func micros(s float64) Micros {
+	if s > 1e9 {
+		return Micros(1e15)
+	}
+	return Micros(math.Round(s * 1e6))
+}
--- /dev/null
+++ b/internal/place/place.go
@@ -0,0 +1,25 @@
+// Package place orders things for a key by highest hash, so that one that comes or goes moves only its own keys.
+package place
+
+import "threadrun/internal/mix"
+
+// Order is a reusable ordering of ids.
+type Order[ID any] struct {
+	ids    []ID
+	scores []uint64
+}
+
+// By orders ids for a key; mark gives an id's own hash. The result is good until the next call.
+func (o *Order[ID]) By(key uint64, ids []ID, mark func(ID) uint64) []ID {
+	o.ids, o.scores = o.ids[:0], o.scores[:0]
+	for _, id := range ids {
+		s := mix.Pair(key, mark(id))
+		i := len(o.ids)
+		o.ids, o.scores = append(o.ids, id), append(o.scores, s)
+		for ; i > 0 && o.scores[i-1] < s; i-- {
+			o.ids[i], o.scores[i] = o.ids[i-1], o.scores[i-1]
+		}
+		o.ids[i], o.scores[i] = id, s
+	}
+	return o.ids
+}
