Rest dead parents for longer with each strike; keep cold budgets while no cache is warm

Should also catch a cut link to one hub. It may hurt where fills fail by chance three times with nothing between.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,7 +29,7 @@
 	// The design's own values, and its open ones: c_f, c_a and the rank cut points.
 	theta      = 0.005 // weight of one sample in every smoothed figure of the design
 	costFill   = 1.0
-	costAge    = 0.1
+	costAge    = 5.0
 	missTarget = 0.1 // share of kept copies that may be missing within their timer
 	tableMost  = 1 << 15
 	cutHigh    = 1.0 // rank 3 below this multiple of the typical gap
@@ -50,14 +50,14 @@
 
 	restFirst   = 300 * ms
 	restMost    = 4 * second
-	sourceFails = 5        // failures in a row after which a source rests
+	sourceFails = 3        // failures with nothing good meanwhile, after which a source rests
 	quickWeight = 0.1      // of one sample in a source's quickness
 	quickTie    = 1.3      // sources nearer than this are equally quick: the hash decides
 	quickBase   = 20_000.0 // added to both
 
-	budgetRate  = 0.6 // of a cold cache's allowance, as a steady rate
-	budgetBurst = 0.3 // of one window's allowance, at once
-	budgetFloor = 0.5 // work a second that all routers may send before the load of its kind is known
+	budgetRate  = 0.8 // of a cold cache's allowance, as a steady rate
+	budgetBurst = 0.2 // of one window's allowance, at once
+	budgetFloor = 2.0 // work a second that a warm cache or parent is taken to bear where nothing is known
 	bearWeight  = 0.05
 
 	tickEvery   = 250 * ms
@@ -79,8 +79,8 @@
 		work: make([]float64, len(cases)), ledger: ledger{objects: table.New[object](tableMost)}}
 	r.mark = func(id CacheID) uint64 { return r.caches[id].Mark }
 	r.link.most = fillsFirst
-	if z := int(branch.Zone); z < len(branch.LinksKB) && branch.LinksKB[z] > 0 && branch.PaceKB > 0 {
-		r.link.most = linkFirst * branch.LinksKB[z] / branch.PaceKB / float64(max(branch.Crew, 1))
+	if fits := r.fits(); fits > 0 {
+		r.link.most = linkFirst * fits / float64(max(branch.Crew, 1))
 	}
 	return r
 }
@@ -479,7 +479,7 @@
 		return p
 	}
 	for _, id := range r.parents { // crowded parents are up: the origin stands behind them and would jam too
-		if r.usable(&r.caches[id]) && r.caches[id].sourceRest <= r.now && !r.isCold(&r.caches[id]) {
+		if r.usable(&r.caches[id]) && !r.isCold(&r.caches[id]) {
 			return edge
 		}
 	}
@@ -509,7 +509,7 @@
 	best := NoCache
 	for _, id := range r.order.By(v.key, r.parents, r.mark) {
 		c := &r.caches[id]
-		if !r.usable(c) || c.sourceRest > r.now || !r.affords(c, v) || !c.fills.free() && !v.Write {
+		if !r.usable(c) || !r.affords(c, v) || !c.fills.free() && !v.Write {
 			continue
 		}
 		if best == NoCache {
@@ -524,8 +524,10 @@
 	return best
 }
 
+// usable tells whether a cache or source is up; one that has rested is tried by a single trip.
 func (r *Router) usable(c *cache) bool {
-	return c.listed && c.Standing == Up && c.restUntil <= r.now && (c.strikes == 0 || c.trips.inUse == 0)
+	idle := c.trips.inUse+c.fills.inUse == 0
+	return c.listed && c.Standing == Up && c.restUntil <= r.now && (c.strikes == 0 || idle)
 }
 
 func (r *Router) loadOf(c *cache) float64 {
@@ -550,15 +552,24 @@
 	}
 	s := &r.cold[c.Tier]
 	part := s.Least + (1-s.Least)*float64(r.now-c.Started)/float64(s.Ramp)
-	crew := r.branch.Crew
+	least := math.Max(budgetFloor, r.fits()/float64(max(len(r.edges), 1))) / float64(max(r.branch.Crew, 1))
 	if c.Tier == Parent {
-		crew = r.branch.Fleet
+		least = math.Max(budgetFloor, r.fits()) / float64(max(r.branch.Fleet, 1))
 	}
-	rate := math.Max(s.Multiple*part*r.borne[c.Tier], budgetFloor/float64(max(crew, 1)))
+	rate := s.Multiple * part * math.Max(r.borne[c.Tier], least)
 	brim := math.Max(rate*seconds(s.Window)*budgetBurst, r.cost(v))
 	return c.bucket.Fill(seconds(r.now), rate*budgetRate, brim) >= r.cost(v)
 }
 
+// fits is how many transfers at full pace the branch's link takes, where told. Its caches together, and any
+// one parent, are taken to send that much at least: a link in is thinner than what stands at its ends.
+func (r *Router) fits() float64 {
+	if z := int(r.branch.Zone); z < len(r.branch.LinksKB) && r.branch.PaceKB > 0 {
+		return r.branch.LinksKB[z] / r.branch.PaceKB
+	}
+	return 0
+}
+
 // cost is a visit's weight in a cold budget: its use case's mean sending time.
 func (r *Router) cost(v *visit) float64 { return math.Max(r.work[v.UseCase], 0.001) }
 
@@ -584,7 +595,7 @@
 		}
 		if filled && filling {
 			src.quick += quickWeight * (math.Max(0, float64(rep.Elapsed-v.work)) - src.quick)
-			src.fails, src.lastGood = 0, r.now
+			src.fails, src.strikes, src.lastGood = 0, 0, r.now
 			if src.Tier == Parent && !r.isCold(src) {
 				r.done[Parent] += r.cost(v)
 			}
@@ -602,7 +613,7 @@
 			jam = 1
 		}
 		if v.fillFailed {
-			r.failedSource(src)
+			r.failedSource(src, t)
 		} else if rep.Ending == Refused {
 			r.adjust(&c.trips, false)
 		}
@@ -614,7 +625,7 @@
 		case c.lastGood < t.sent: // silent: nothing came from it since
 			r.strike(c)
 		case t.mayFill:
-			r.failedSource(src)
+			r.failedSource(src, t)
 			r.adjust(&r.link, false)
 		default:
 			r.adjust(&c.trips, false)
@@ -650,11 +661,13 @@
 	r.desk.Note(fmt.Sprintf("cache %d rests %dms after strike %d", c.ID, rest/ms, c.strikes))
 }
 
-func (r *Router) failedSource(c *cache) {
+// failedSource wards off filling from a dead parent: it rests after failures with nothing good meanwhile.
+func (r *Router) failedSource(c *cache, t *trip) {
 	r.adjust(&c.fills, false)
-	if c.fails++; c.fails >= sourceFails && c.Tier == Parent && r.now-c.lastGood > second {
-		c.fails, c.sourceRest = 0, r.now+2*restFirst
-		r.desk.Note(fmt.Sprintf("source %d rests after %d failures", c.ID, sourceFails))
+	if c.Tier == Parent && c.lastGood < t.sent {
+		if c.fails++; c.fails >= sourceFails {
+			r.strike(c)
+		}
 	}
 }
 
@@ -691,8 +704,9 @@
 				warm++
 			}
 		}
-		rate := r.done[tier] / seconds(tickEvery) / float64(max(warm, 1))
-		r.borne[tier] += bearWeight * (rate - r.borne[tier])
+		if warm > 0 { // with all of them cold or gone, what they bore before still counts
+			r.borne[tier] += bearWeight * (r.done[tier]/seconds(tickEvery)/float64(warm) - r.borne[tier])
+		}
 		r.done[tier] = 0
 	}
 	if r.relist > 0 && r.now >= r.relist {
--- a/decide/state.go
+++ b/decide/state.go
@@ -59,17 +59,16 @@
 // cache is what the router holds of one cache, parent or the origin.
 type cache struct {
 	Listed
-	listed     bool
-	trips      limit // sent to it
-	fills      limit // naming it as source, that may fill
-	strikes    int
-	restUntil  Micros
-	lastGood   Micros
-	load       float64 // visits held there, by its own report
-	quick      float64 // smoothed time that a fill from it takes beyond its bytes
-	bucket     bucket.Bucket
-	fails      int
-	sourceRest Micros
+	listed    bool
+	trips     limit // sent to it
+	fills     limit // naming it as source, that may fill
+	strikes   int
+	restUntil Micros
+	lastGood  Micros
+	load      float64 // visits held there, by its own report
+	quick     float64 // smoothed time that a fill from it takes beyond its bytes
+	bucket    bucket.Bucket
+	fails     int
 }
 
 // object is what is learned of one part of an object.
