--- a/decide/decide.go
+++ b/decide/decide.go
@@ -406,11 +406,6 @@
 			e.Rank, e.Oldest = r.ledger.judge(o, use.Fresh, use.Grace)
 		}
 		e.Renew = use.Fresh > 0 && e.Rank > 0
-		if at, purged := r.purgedAt(v); purged { // wards off copies older than a purge, from its notice on
-			if age := max(r.now-at-ms, 1); e.Oldest == 0 || age < e.Oldest {
-				e.Oldest = age
-			}
-		}
 	}
 	var crowded bool
 	if e.Cache, crowded = r.pickEdge(v); e.Cache == NoCache {
@@ -423,15 +418,28 @@
 	if v.Write && e.Source == e.Cache {
 		return r.straight(v, e)
 	}
+	if e.Source == e.Cache || v.n > 0 { // an old copy beats none where fills fail
+		e.Oldest = use.Fresh + use.Grace
+	}
+	e.Oldest = r.sincePurge(v, e.Oldest)
 	return e, e.Source != e.Cache && !r.holds(v, o, &r.caches[e.Cache]), true
 }
 
+// sincePurge wards off copies older than a purge, from its notice on; the age counts from the purge itself.
+func (r *Router) sincePurge(v *visit, oldest Micros) Micros {
+	at, purged := r.purgedAt(v)
+	if age := max(r.now-at-ms, 1); purged && !v.Write && (oldest == 0 || age < oldest) {
+		return age
+	}
+	return oldest
+}
+
 // straight passes the branch's caches by where none of them is up, if the site lets it.
 func (r *Router) straight(v *visit, e Errand) (Errand, bool, bool) {
 	if !r.leave.Direct || r.origin == NoCache || !r.usable(&r.caches[r.origin]) || !r.linkFree(v) {
 		return e, false, false
 	}
-	e.Rank, e.Renew, e.Source = 0, false, r.origin
+	e.Rank, e.Renew, e.Source, e.Oldest = 0, false, r.origin, r.sincePurge(v, e.Oldest)
 	if e.Cache = r.pickParent(v); e.Cache == NoCache {
 		e.Cache = r.origin
 	}
@@ -640,11 +648,11 @@
 	}
 }
 
-// adjust moves a limit: up by one where it was in use and served in time, else cut by a share.
+// adjust moves a limit: up by one for a limit's worth of ends in time, else cut by a share.
 func (r *Router) adjust(l *limit, good bool) {
 	if good {
 		if float64(l.inUse+1) > l.most/2 {
-			l.most++
+			l.most += 1 / l.most
 		}
 	} else if r.now-l.cutAt >= cutPause {
 		l.most, l.cutAt = math.Max(limitLeast, l.most*limitCut), r.now
