--- a/decide/decide.go
+++ b/decide/decide.go
@@ -32,7 +32,7 @@
 	costAge    = 5.0
 	missTarget = 0.1 // share of kept copies that may be missing within their timer
 	tableMost  = 1 << 15
-	cutHigh    = 8.0 // rank 3 below this multiple of the typical gap
+	cutHigh    = 8.0  // rank 3 below this multiple of the typical gap
 	cutLow     = 30.0 // rank 1 above this one
 
 	tripsMost    = 3      // one and up to two further ones
