--- a/decide/api.go
+++ b/decide/api.go
@@ -207,7 +207,6 @@
 	Withdraw(VisitID, TripNo)
 	Release(VisitID) // nothing more will be said or asked of this visit
 	Wake(at Micros)
-	Probe(CacheID)
 	Follow() // subscribe to the list of caches
 	Note(line string)
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -2,7 +2,7 @@
 // and the tuned values. Its interface is api.go; docs/design.md tells what it follows and where it departs.
 //
 // How it is called: New makes a router. Before each event Clock tells the time, then one of List, ListLost,
-// Arrive, TripEnded, Started, Left, Purged, Probed, Woke tells what happened. Results go to the Desk within
+// Arrive, TripEnded, Started, Left, Purged, Woke tells what happened. Results go to the Desk within
 // that call. state.go has the records, and move, the one function that changes a visit's state.
 //
 // The design (learned accepted age) decides each ordinary visit: see judge and plan. Beside it stand:
@@ -10,8 +10,9 @@
 //  2. known copy: a cache of the branch that was seen to hold the object is the source for another
 //  3. limits on what is in flight, up by one, cut by a share: trips at a cache, fills from a source, and
 //     fills over the branch's link; where fills have no room a visit still gets what its cache holds
-//  4. rest: a cache or source that shows itself dead is left alone for a while, then tried by one trip
-//  5. cold budgets: a just-started cache or parent gets this router's share of what it can bear
+//  4. waiting: a miss that finds no fill free waits for one while it can still be in time
+//  5. rest: a cache or source that shows itself dead is left alone for a while, then tried by one trip
+//  6. cold budgets: a just-started cache or parent gets this router's share of what it can bear
 package decide
 
 import (
@@ -46,7 +47,6 @@
 	limitLeast = 3.0
 	limitCut   = 0.7
 	cutPause   = 300 * ms // one cut for one jam
-	cheapShare = 0.5      // of the link's limit, for the visits that are worth least for their bytes
 
 	restFirst   = 300 * ms
 	restMost    = 4 * second
@@ -68,7 +68,8 @@
 
 var follows = [...][]State{
 	Vacant: {Arrived}, Arrived: {OnTrip, Answered}, OnTrip: {Between, Streaming, Answered},
-	Between: {OnTrip, Answered}, Streaming: {Answered}, Answered: {Released}, Released: {},
+	Between: {OnTrip, Waiting, Answered}, Waiting: {OnTrip, Answered}, Streaming: {Answered},
+	Answered: {Released}, Released: {},
 }
 
 // New makes a router from what is told at start.
@@ -202,22 +203,10 @@
 		}
 		c.Listed, c.listed = x, x.Standing != Gone
 	}
-	r.edges, r.parents, r.origin = r.edges[:0], r.parents[:0], NoCache
-	for i := range r.caches {
-		c := &r.caches[i]
-		switch {
-		case !c.listed:
-		case c.Tier == Parent:
-			r.parents = append(r.parents, c.ID)
-		case c.Tier == Origin:
-			r.origin = c.ID
-		case c.Zone == r.branch.Zone:
-			r.edges = append(r.edges, c.ID)
-		}
-	}
-	if !r.ticking {
-		r.ticking = true
-		r.desk.Wake(r.now + tickEvery)
+	r.sort()
+	if r.nextTick == 0 {
+		r.nextTick = r.now + tickEvery
+		r.desk.Wake(r.nextTick)
 		if r.leave.Ask {
 			r.desk.Follow()
 		}
@@ -225,7 +214,7 @@
 }
 
 // ListLost tells that the subscription dropped or a call failed; the list in hand stays.
-func (r *Router) ListLost() { r.relist = r.now + second }
+func (r *Router) ListLost() { r.lost = true }
 
 // Purged tells that older copies of an object, or of a whole group, are out of date.
 func (r *Router) Purged(o ObjectID, g GroupID, whole bool, ago Micros) {
@@ -266,28 +255,6 @@
 	r.proceed(v)
 }
 
-// Started tells that a streamed answer has begun: no clock of ours runs for it any longer.
-func (r *Router) Started(id VisitID, _ TripNo) {
-	if v := r.visits.Get(id); v != nil {
-		v.move(Streaming)
-	}
-}
-
-// Left tells that the client has gone; nothing more is owed.
-func (r *Router) Left(id VisitID) {
-	if v := r.visits.Get(id); v != nil {
-		v.move(Answered)
-		r.release(v)
-	}
-}
-
-// Probed is the end of a probe.
-func (r *Router) Probed(id CacheID, ok bool, l Load) {
-	if ok && l.InHand >= 0 {
-		r.caches[id].load = l.InHand
-	}
-}
-
 // TripEnded takes the end of one trip.
 func (r *Router) TripEnded(id VisitID, rep Report) {
 	v := r.visits.Get(id)
@@ -311,6 +278,7 @@
 	} else if v.out == 0 && v.move(Between) {
 		r.further(v, t, rep.Ending)
 	}
+	r.admit()
 }
 
 // ---- What to do ----
@@ -318,14 +286,47 @@
 // further decides after a trip that did not deliver.
 func (r *Router) further(v *visit, t *trip, end Ending) {
 	idle := end == Lacking || end == NoRoute // costs little and says nothing of a crowd
-	looked := end == Lacking && t.source == t.cache
-	if looked || v.n >= min(tripsMost, r.leave.Trips) || r.now >= v.ends || r.heavy && !idle || !r.mayRepeat(v) {
+	if v.n >= min(tripsMost, r.leave.Trips) || r.now >= v.ends || r.heavy && !idle || !r.mayRepeat(v) {
 		r.giveUp(v)
 		return
 	}
+	if end == Lacking && t.source == t.cache && v.move(Waiting) {
+		r.waiting = append(r.waiting, v.id)
+		r.desk.Wake(max(v.aim-2*v.work, r.now) + ms)
+		return
+	}
 	r.proceed(v)
 }
 
+// admit lets waiting visits have the fills that have come free, the worthiest for their bytes first,
+// and gives up those that could no longer be in time. It wards off losing to a moment's crowd.
+func (r *Router) admit() {
+	for {
+		var best *visit
+		most, left := 0.0, r.waiting[:0]
+		for _, id := range r.waiting {
+			v := r.visits.Get(id)
+			if v == nil || v.state != Waiting {
+				continue
+			}
+			if r.now > v.aim-2*v.work {
+				r.giveUp(v)
+				continue
+			}
+			left = append(left, id)
+			if worth := r.cases[v.UseCase].Importance / (seconds(v.work) + r.cost(v)); worth > most {
+				if e, _, ok := r.plan(v); ok && e.Source != e.Cache {
+					best, most = v, worth
+				}
+			}
+		}
+		if r.waiting = left; best == nil {
+			return
+		}
+		r.proceed(best)
+	}
+}
+
 // mayRepeat wards off a second effect: a trip that may have run binds those after it.
 func (r *Router) mayRepeat(v *visit) bool {
 	use := &r.cases[v.UseCase]
@@ -440,7 +441,7 @@
 		return e, false, false
 	}
 	e.Rank, e.Renew, e.Source, e.Oldest = 0, false, r.origin, r.sincePurge(v, e.Oldest)
-	if e.Cache = r.pickParent(v); e.Cache == NoCache {
+	if e.Cache, _ = r.pickParent(v); e.Cache == NoCache {
 		e.Cache = r.origin
 	}
 	c := &r.caches[e.Cache]
@@ -483,41 +484,32 @@
 	if !r.linkFree(v) && !r.holds(v, o, &r.caches[edge]) {
 		return edge
 	}
-	if p := r.pickParent(v); p != NoCache {
+	p, up := r.pickParent(v)
+	if p != NoCache {
 		return p
 	}
-	for _, id := range r.parents { // crowded parents are up: the origin stands behind them and would jam too
-		if r.usable(&r.caches[id]) && !r.isCold(&r.caches[id]) {
-			return edge
-		}
-	}
-	if r.origin != NoCache {
-		if c := &r.caches[r.origin]; c.Standing == Up && (c.fills.free() || v.Write) {
+	if r.origin != NoCache && !up { // crowded parents are up: the origin stands behind them and would jam too
+		if c := &r.caches[r.origin]; r.usable(c) && (c.fills.free() || v.Write) {
 			return r.origin
 		}
 	}
 	return edge
 }
 
-// linkFree tells whether the branch's link takes one more fill. When it fills up, the visits that are worth
-// least for their bytes are the first to be turned to what is held: one large object outweighs many small.
-func (r *Router) linkFree(v *visit) bool {
-	if v.Write {
-		return true
-	}
-	share := 1.0
-	if mean := r.cost(v); seconds(v.work) > 2*mean {
-		share = cheapShare
-	}
-	return float64(r.link.inUse) < share*r.link.most
-}
+// linkFree tells whether the branch's link takes one more fill.
+func (r *Router) linkFree(v *visit) bool { return v.Write || r.link.free() }
 
-// pickParent takes the quicker of the object's two hashed parents that are up.
-func (r *Router) pickParent(v *visit) CacheID {
-	best := NoCache
+// pickParent takes the quicker of the object's two hashed parents that are up and have room for a fill. It
+// tells whether any warm parent is up at all.
+func (r *Router) pickParent(v *visit) (best CacheID, up bool) {
+	best = NoCache
 	for _, id := range r.order.By(v.key, r.parents, r.mark) {
 		c := &r.caches[id]
-		if !r.usable(c) || !r.affords(c, v) || !c.fills.free() && !v.Write {
+		if !r.usable(c) {
+			continue
+		}
+		up = up || !r.isCold(c)
+		if !r.affords(c, v) || !c.fills.free() && !v.Write {
 			continue
 		}
 		if best == NoCache {
@@ -529,7 +521,7 @@
 		}
 		break
 	}
-	return best
+	return best, up
 }
 
 // usable tells whether a cache or source is up; one that has rested is tried by a single trip.
@@ -704,7 +696,12 @@
 
 // Woke is a timer's call: what is due now and then.
 func (r *Router) Woke() {
-	r.desk.Wake(r.now + tickEvery)
+	r.admit()
+	if r.now < r.nextTick {
+		return
+	}
+	r.nextTick = r.now + tickEvery
+	r.desk.Wake(r.nextTick)
 	for tier, ids := range [2][]CacheID{r.edges, r.parents} {
 		warm := 0
 		for _, id := range ids {
@@ -717,11 +714,11 @@
 		}
 		r.done[tier] = 0
 	}
-	if r.relist > 0 && r.now >= r.relist {
-		r.relist = 0
-		r.desk.Follow()
-	}
 	if r.now%second < tickEvery {
+		if r.lost {
+			r.lost = false
+			r.desk.Follow()
+		}
 		r.ledger.largest = 0
 		r.ledger.objects.Each(func(o *object) { r.ledger.largest = math.Max(r.ledger.largest, o.gap) })
 		for k, at := range r.marks { // the order does not matter: each mark goes by its own age
--- a/decide/state.go
+++ b/decide/state.go
@@ -19,6 +19,7 @@
 	Arrived
 	OnTrip
 	Between // all trips ended, none delivered
+	Waiting // for a fill to come free
 	Streaming
 	Answered // may still be owed the ends of its trips
 	Released
@@ -95,37 +96,53 @@
 
 // Router decides for one instance.
 type Router struct {
-	now     Micros
-	desk    Desk
-	cases   []UseCase
-	branch  Branch
-	leave   Leave
-	cold    [2]ColdStart // by tier: Edge, Parent
-	purge   Purges
-	visits  slab.Slab[visit]
-	ledger  ledger
-	caches  []cache
-	edges   []CacheID // of the own zone
-	parents []CacheID
-	origin  CacheID
-	order   place.Order[CacheID]
-	mark    func(CacheID) uint64
-	link    limit      // fills that come in over the branch's link
-	work    []float64  // mean sending time of each use case, in seconds
-	borne   [2]float64 // work a second that one warm cache of a tier delivers for this router
-	done    [2]float64 // since the last tick
-	trouble float64    // smoothed share of trips that met a crowd
-	heavy   bool       // the router sees overload
-	ticking bool
-	relist  Micros
-	marks   map[uint64]Micros // purge marks: object or group, to the time of the purge
-	seed    uint32
-	drawn   uint32
+	now      Micros
+	desk     Desk
+	cases    []UseCase
+	branch   Branch
+	leave    Leave
+	cold     [2]ColdStart // by tier: Edge, Parent
+	purge    Purges
+	visits   slab.Slab[visit]
+	ledger   ledger
+	caches   []cache
+	edges    []CacheID // of the own zone
+	parents  []CacheID
+	origin   CacheID
+	order    place.Order[CacheID]
+	mark     func(CacheID) uint64
+	waiting  []VisitID  // in the order they came
+	link     limit      // fills that come in over the branch's link
+	work     []float64  // mean sending time of each use case, in seconds
+	borne    [2]float64 // work a second that one warm cache of a tier delivers for this router
+	done     [2]float64 // since the last tick
+	trouble  float64    // smoothed share of trips that met a crowd
+	heavy    bool       // the router sees overload
+	nextTick Micros
+	lost     bool              // the list must be asked for again
+	marks    map[uint64]Micros // purge marks: object or group, to the time of the purge
+	seed     uint32
+	drawn    uint32
 }
 
 // Clock tells the time; it never goes back.
 func (r *Router) Clock(now Micros) { r.now = now }
 
+// Started tells that a streamed answer has begun: no clock of ours runs for it any longer.
+func (r *Router) Started(id VisitID, _ TripNo) {
+	if v := r.visits.Get(id); v != nil {
+		v.move(Streaming)
+	}
+}
+
+// Left tells that the client has gone; nothing more is owed.
+func (r *Router) Left(id VisitID) {
+	if v := r.visits.Get(id); v != nil {
+		v.move(Answered)
+		r.release(v)
+	}
+}
+
 // chance draws from 0 up to 1.
 func (r *Router) chance() float64 {
 	r.drawn++
@@ -162,6 +179,23 @@
 	}
 }
 
+// sort finds the branch's caches, the parents and the origin on the list.
+func (r *Router) sort() {
+	r.edges, r.parents, r.origin = r.edges[:0], r.parents[:0], NoCache
+	for i := range r.caches {
+		c := &r.caches[i]
+		switch {
+		case !c.listed:
+		case c.Tier == Parent:
+			r.parents = append(r.parents, c.ID)
+		case c.Tier == Origin:
+			r.origin = c.ID
+		case c.Zone == r.branch.Zone:
+			r.edges = append(r.edges, c.ID)
+		}
+	}
+}
+
 // purgedAt finds the last purge that a visit's copy must be younger than.
 func (r *Router) purgedAt(v *visit) (Micros, bool) {
 	at, ok := r.marks[uint64(v.Object)]
