--- a/decide/decide.go
+++ b/decide/decide.go
@@ -44,7 +44,7 @@
 	tripsFirst = 24.0 // limits at the start
 	fillsFirst = 16.0
 	linkFirst  = 2.0 // times the transfers that fit the branch's link at full pace
-	limitLeast = 3.0
+	limitLeast = 1.0
 	limitCut   = 0.7
 	cutPause   = 300 * ms // one cut for one jam
 
@@ -622,11 +622,11 @@
 	case TooSlow:
 		jam = 1
 		switch {
-		case c.lastGood < t.sent: // silent: nothing came from it since
-			r.strike(c)
 		case t.mayFill:
 			r.failedSource(src, t)
 			r.adjust(&r.link, false)
+		case c.lastGood < t.sent: // silent: nothing came from it since
+			r.strike(c)
 		default:
 			r.adjust(&c.trips, false)
 		}
