--- a/decide/decide.go
+++ b/decide/decide.go
@@ -53,6 +53,7 @@
 	restMost    = 4 * second
 	sourceFails = 3        // failures with nothing good meanwhile, after which a source rests
 	quickWeight = 0.1      // of one sample in a source's quickness
+	quickPardon = 0.98     // what is left of a slower parent's figure each time it is passed by
 	quickTie    = 1.3      // sources nearer than this are equally quick: the hash decides
 	quickBase   = 20_000.0 // added to both
 
@@ -502,8 +503,9 @@
 			best = id
 			continue
 		}
-		if (c.quick+quickBase)*quickTie < r.caches[best].quick+quickBase {
-			best = id
+		b := &r.caches[best]
+		if (c.quick+quickBase)*quickTie < b.quick+quickBase {
+			best, b.quick = id, b.quick*quickPardon // else a parent once slow would never be asked again
 		}
 		break
 	}
@@ -626,7 +628,7 @@
 	}
 }
 
-// blame moves the limits behind a fill: that on fetches first, the link's is cut by fills that fetched nothing.
+// blame moves the limits behind a fill: that on fetches first; fills that fetched nothing cut the link's.
 func (r *Router) blame(t *trip, good bool) {
 	if t.fetches {
 		r.adjust(&r.fetch, good)
