--- a/decide/decide.go
+++ b/decide/decide.go
@@ -11,7 +11,7 @@
 //  3. limits on what is in flight, up by one, cut by a share: trips at a cache, fills from a source and
 //     over the branch's link, fetches from the origin; a visit still gets what its cache or, when fetches
 //     are short, its parent holds
-//  4. waiting: a miss that finds no fill free waits for one while it can still be in time
+//  4. waiting: a visit that finds no room, at a cache or for a fill, waits while it can still be in time
 //  5. rest: a cache or source that shows itself dead is left alone for a while, then tried by one trip
 //  6. cold budgets: a just-started cache or parent gets this router's share of what it can bear
 package decide
@@ -69,7 +69,7 @@
 )
 
 var follows = [...][]State{
-	Vacant: {Arrived}, Arrived: {OnTrip, Answered}, OnTrip: {Between, Streaming, Answered},
+	Vacant: {Arrived}, Arrived: {OnTrip, Waiting, Answered}, OnTrip: {Between, Streaming, Answered},
 	Between: {OnTrip, Waiting, Answered}, Waiting: {OnTrip, Answered}, Streaming: {Answered},
 	Answered: {Released}, Released: {},
 }
@@ -267,15 +267,23 @@
 		return
 	}
 	v.lacked = v.lacked || end == Lacking && t.heldOnly
-	if end == Lacking && (t.source == t.cache || t.heldOnly) && v.move(Waiting) {
-		r.waiting = append(r.waiting, v.id)
-		r.desk.Wake(max(v.aim-2*v.work, r.now) + ms)
+	if end == Lacking && (t.source == t.cache || t.heldOnly) {
+		v.looked = true
+		r.wait(v)
 		return
 	}
 	r.proceed(v)
 }
 
-// admit lets waiting visits have the fills that have come free, the worthiest for their bytes first,
+// wait holds a visit until there is room for its trip; the wake is for giving it up as soon as it is too late.
+func (r *Router) wait(v *visit) {
+	if v.move(Waiting) {
+		r.waiting = append(r.waiting, v.id)
+		r.desk.Wake(max(v.aim-2*v.work, r.now) + ms)
+	}
+}
+
+// admit lets waiting visits have the room that has come free, the worthiest for their bytes first,
 // and gives up those that could no longer be in time. It wards off losing to a moment's crowd.
 func (r *Router) admit() {
 	for {
@@ -292,7 +300,7 @@
 			}
 			left = append(left, id)
 			if worth := r.cases[v.UseCase].Importance / (seconds(v.work) + r.cost(v)); worth > most {
-				if e, _, ok := r.plan(v); ok && e.Source != e.Cache {
+				if e, _, ok := r.plan(v); ok && (e.Source != e.Cache || !v.looked) {
 					best, most = v, worth
 				}
 			}
@@ -344,6 +352,10 @@
 // proceed sends the next trip, or gives up where there is none to send.
 func (r *Router) proceed(v *visit) {
 	e, mayFill, ok := r.plan(v)
+	if !ok && r.anyUp() && r.now < v.aim-2*v.work {
+		r.wait(v)
+		return
+	}
 	if !ok || e.Until <= r.now || !v.move(OnTrip) {
 		r.giveUp(v)
 		return
@@ -362,21 +374,6 @@
 	r.desk.Send(v.id, e)
 }
 
-// book enters a trip in the limits it counts in, or takes it out.
-func (r *Router) book(t *trip, n int) {
-	r.caches[t.cache].trips.inUse += n
-	if t.mayFill {
-		src := &r.caches[t.source]
-		src.fills.inUse += n
-		if src.Tier != Edge {
-			r.link.inUse += n
-		}
-		if t.fetches {
-			r.fetch.inUse += n
-		}
-	}
-}
-
 // plan is the ordinary path: the design's age and rank, the hashed cache, the quicker source.
 func (r *Router) plan(v *visit) (e Errand, mayFill, ok bool) {
 	use := &r.cases[v.UseCase]
--- a/decide/state.go
+++ b/decide/state.go
@@ -47,6 +47,7 @@
 	ran        bool // some trip may have run
 	ranSince   Micros
 	ranAt      CacheID
+	looked     bool // a trip only looked, and found nothing
 	lacked     bool // the source was asked for what it holds, and lacks it
 	fillFailed bool // the last trip failed for its source, not its cache
 }
@@ -231,6 +232,31 @@
 	r.marks[key] = max(r.marks[key], r.now-ago)
 }
 
+// anyUp tells whether waiting may help: some cache of the branch is up, if crowded or cold.
+func (r *Router) anyUp() bool {
+	for _, id := range r.edges {
+		if r.usable(&r.caches[id]) {
+			return true
+		}
+	}
+	return false
+}
+
+// book enters a trip in the limits it counts in, or takes it out.
+func (r *Router) book(t *trip, n int) {
+	r.caches[t.cache].trips.inUse += n
+	if t.mayFill {
+		src := &r.caches[t.source]
+		src.fills.inUse += n
+		if src.Tier != Edge {
+			r.link.inUse += n
+		}
+		if t.fetches {
+			r.fetch.inUse += n
+		}
+	}
+}
+
 // purgedAt finds the last purge that a visit's copy must be younger than.
 func (r *Router) purgedAt(v *visit) (Micros, bool) {
 	at, ok := r.marks[uint64(v.Object)]
