--- a/decide/decide.go
+++ b/decide/decide.go
@@ -275,7 +275,7 @@
 	r.proceed(v)
 }
 
-// wait holds a visit until there is room for its trip; the wake is for giving it up as soon as it is too late.
+// wait holds a visit until there is room for its trip; the wake is for giving it up once it is too late.
 func (r *Router) wait(v *visit) {
 	if v.move(Waiting) {
 		r.waiting = append(r.waiting, v.id)
