--- a/decide/api.go
+++ b/decide/api.go
@@ -92,11 +92,11 @@
 
 // Leave is what the site lets a router do.
 type Leave struct {
-	Trips                          int // for one visit
-	TwoAtOnce, Withdraw            bool
-	Direct, Siblings, AnyZone      bool
-	Join, Probe, Ask, ToldComeback bool
-	LongestComeback                Micros
+	Trips                     int // for one visit
+	TwoAtOnce, Withdraw       bool
+	Direct, Siblings, AnyZone bool
+	Join, Probe, Ask          bool
+	LongestComeback           Micros // 0: clients are not told when to come back
 }
 
 // ColdStart bounds what a just-started cache may be sent.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -51,6 +51,7 @@
 
 	restFirst   = 300 * ms
 	restMost    = 4 * second
+	deadStrikes = 2        // after which a cache that answers again is taken for just started
 	sourceFails = 3        // failures with nothing good meanwhile, after which a source rests
 	quickWeight = 0.1      // of one sample in a source's quickness
 	quickPardon = 0.98     // what is left of a slower parent's figure each time it is passed by
@@ -340,11 +341,7 @@
 	if r.now >= v.ends || v.ran && (use.Effect == OneShot || use.Effect == Stamped && use.Reach != Everywhere) {
 		r.desk.Scrap(v.id)
 	} else {
-		comeback := Micros(0)
-		if r.leave.ToldComeback {
-			comeback = Micros(float64(r.leave.LongestComeback) * (0.5 + 0.5*r.chance()))
-		}
-		r.desk.Defer(v.id, comeback)
+		r.desk.Defer(v.id, Micros(float64(r.leave.LongestComeback)*(0.5+0.5*r.chance())))
 	}
 	r.release(v)
 }
@@ -571,16 +568,13 @@
 	v.fillFailed = false
 	switch rep.Ending {
 	case Delivered:
-		if c.strikes > 0 {
-			r.desk.Note(fmt.Sprintf("cache %d back after %d strikes", c.ID, c.strikes))
-		}
-		c.strikes, c.lastGood = 0, r.now
+		r.answered(c)
 		if c.Tier != Origin && !r.isCold(c) {
 			r.done[c.Tier] += r.cost(v)
 		}
 		if filled && filling {
 			src.quick += quickWeight * (math.Max(0, float64(rep.Elapsed-v.work)) - src.quick)
-			src.fails, src.strikes, src.lastGood = 0, 0, r.now
+			r.answered(src)
 			if src.Tier == Parent && !r.isCold(src) {
 				r.done[Parent] += r.cost(v)
 			}
@@ -656,6 +650,18 @@
 	r.desk.Note(fmt.Sprintf("cache %d rests %dms after strike %d", c.ID, rest/ms, c.strikes))
 }
 
+// answered takes a good end. A cache back from the dead is taken for just started, until the list says
+// when it did: the list is seconds late, and by then all routers together would have pushed it over.
+func (r *Router) answered(c *cache) {
+	if c.strikes > 0 {
+		r.desk.Note(fmt.Sprintf("cache %d back after %d strikes", c.ID, c.strikes))
+		if c.strikes >= deadStrikes {
+			c.Started = r.now
+		}
+	}
+	c.strikes, c.fails, c.lastGood = 0, 0, r.now
+}
+
 // failedSource wards off filling from a dead parent: it rests after failures with nothing good meanwhile.
 func (r *Router) failedSource(c *cache, t *trip) {
 	r.adjust(&c.fills, false)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -68,6 +68,20 @@
 	})
 }
 
+// A cache that comes back from the dead is cold before the list tells of its start, and stays so when it is listed again.
+func TestBackFromTheDeadIsCold(t *testing.T) {
+	d := bench(t, plainLeave)
+	d.r.strike(&d.r.caches[1])
+	d.pass(second)
+	d.r.strike(&d.r.caches[1])
+	d.pass(second)
+	d.r.answered(&d.r.caches[1])
+	d.list(fleet()[1])
+	if !d.r.isCold(&d.r.caches[1]) || d.r.isCold(&d.r.caches[2]) {
+		t.Fatal("not taken for just started")
+	}
+}
+
 // The closed form stands against its guards: rate 0, negative gain, no gap.
 func TestTimer(t *testing.T) {
 	want := 10 * (math.Sqrt(1+2/(costAge*0.125*10)) - 1)
--- a/decide/state.go
+++ b/decide/state.go
@@ -65,8 +65,9 @@
 type cache struct {
 	Listed
 	listed    bool
-	trips     limit // sent to it
-	fills     limit // naming it as source, that may fill
+	told      Micros // its start, by the list; Started may be what its trips have shown
+	trips     limit  // sent to it
+	fills     limit  // naming it as source, that may fill
 	strikes   int
 	restUntil Micros
 	lastGood  Micros
@@ -196,10 +197,12 @@
 			r.caches = append(r.caches, anew)
 		}
 		c := &r.caches[x.ID]
-		if x.Started != c.Started { // a new process: what was learned of the old one is void
+		if x.Started != c.told { // a new process: what was learned of the old one is void
 			was := *c
 			*c = anew
-			c.trips.inUse, c.fills.inUse, c.quick = was.trips.inUse, was.fills.inUse, was.quick
+			c.trips.inUse, c.fills.inUse, c.quick, c.told = was.trips.inUse, was.fills.inUse, was.quick, x.Started
+		} else {
+			x.Started = c.Started
 		}
 		c.Listed, c.listed = x, x.Standing != Gone
 	}
--- a/internal/benchwire/post.go
+++ b/internal/benchwire/post.go
@@ -88,7 +88,10 @@
 	leave := decide.Leave{Trips: lim.GetInt("send_cap"), TwoAtOnce: lim.GetBool("parallel_tries"),
 		Withdraw: lim.GetBool("cancelling"), Direct: x.GetBool("direct"), Join: x.GetBool("can_join"),
 		Probe: lim.GetBool("may_probe"), Ask: str(in, "discovery") == "ask",
-		ToldComeback: lim.GetBool("retry_after"), LongestComeback: micros(lim.GetFloat64("max_retry_after"))}
+	}
+	if lim.GetBool("retry_after") {
+		leave.LongestComeback = micros(lim.GetFloat64("max_retry_after"))
+	}
 	switch str(x, "siblings") {
 	case "location":
 		leave.Siblings = true
