--- a/decide/decide.go
+++ b/decide/decide.go
@@ -47,6 +47,7 @@
 	linkFirst  = 2.0 // times the transfers that fit the branch's link at full pace
 	limitLeast = 1.0
 	limitCut   = 0.7
+	spare      = 0.15     // of the expected time that must be left, or a limit is cut
 	cutPause   = 300 * ms // one cut for one jam
 
 	restFirst   = 300 * ms
@@ -221,6 +222,7 @@
 	} else {
 		v.work = micros(*mean)
 	}
+	v.came = r.now
 	v.ends = r.now + a.Left - answerMargin
 	v.aim = min(r.now+use.Expected+Micros(use.Stretch*float64(v.work)), v.ends)
 	if !v.Write {
@@ -564,6 +566,7 @@
 	}
 	filled := rep.Trace == Filled || rep.Trace == FilledByOrigin
 	late := r.now > v.aim
+	pressed := r.now > v.aim-Micros(spare*float64(v.aim-v.came))
 	jam := 0.0
 	v.fillFailed = false
 	switch rep.Ending {
@@ -581,7 +584,7 @@
 			r.adjust(&src.fills, !late)
 			r.blame(t, !late)
 		} else {
-			r.adjust(&c.trips, !late)
+			r.adjust(&c.trips, !pressed)
 			if filling && t.mayFill && r.isCold(src) {
 				src.bucket.Take(-r.cost(v))
 			}
--- a/decide/state.go
+++ b/decide/state.go
@@ -48,6 +48,7 @@
 	ranSince   Micros
 	ranAt      CacheID
 	looked     bool // a trip only looked, and found nothing
+	came       Micros
 	lacked     bool // the source was asked for what it holds, and lacks it
 	fillFailed bool // the last trip failed for its source, not its cache
 }
