--- a/decide/decide.go
+++ b/decide/decide.go
@@ -47,7 +47,7 @@
 	linkFirst  = 2.0 // times the transfers that fit the branch's link at full pace
 	limitLeast = 1.0
 	limitCut   = 0.7
-	spare      = 0.15     // of the expected time that must be left, or a limit is cut
+	spare      = 0.35     // of the expected time that must be left, or a limit is cut
 	cutPause   = 300 * ms // one cut for one jam
 
 	restFirst   = 300 * ms
