--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -192,6 +192,20 @@
 	}
 }
 
+// A hit that leaves little of its expected time cuts its cache's limit, though it is in time; a quick one does not.
+func TestHitThatLeavesLittleTimeCutsTheLimit(t *testing.T) {
+	for took, cut := range map[Micros]bool{100 * ms: false, 600 * ms: true} {
+		d := bench(t, plainLeave)
+		d.arrive(video(1))
+		c := &d.r.caches[d.out[0].Cache]
+		d.r.Clock(d.r.now + took)
+		d.end(0, Report{Ending: Delivered, Trace: Hit, Elapsed: took, Load: Untold})
+		if (c.trips.most < tripsFirst) != cut {
+			t.Errorf("a hit of %v leaves the limit at %v", took, c.trips.most)
+		}
+	}
+}
+
 // A just-started cache and a just-started parent are sent a part of what the rule allows over any window.
 func TestColdBudget(t *testing.T) {
 	for _, id := range []CacheID{1, 4} {
