--- a/decide/api.go
+++ b/decide/api.go
@@ -78,8 +78,8 @@
 	Write, Streams, Parted bool
 }
 
-// Tenant is one customer of the service and its share.
-type Tenant struct{ PerSecond float64 }
+// Tenant is one customer of the service: its share over all routers, and what a visit beyond it is worth.
+type Tenant struct{ PerSecond, OverWorth float64 }
 
 // Branch is where a router stands.
 type Branch struct {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -20,6 +20,7 @@
 	"fmt"
 	"math"
 
+	"threadrun/internal/bucket"
 	"threadrun/internal/mix"
 	"threadrun/internal/table"
 )
@@ -37,6 +38,7 @@
 	cutHigh    = 8.0  // rank 3 below this multiple of the typical gap
 	cutLow     = 30.0 // rank 1 above this one
 
+	quotaBurst   = 1.0    // seconds of a tenant's share that may come at once
 	tripsMost    = 3      // one and up to two further ones
 	answerMargin = 4 * ms // a trip ends this long before the client's time is up
 	spillOver    = 1.25   // load over the branch's mean at which the home cache passes visits on
@@ -77,11 +79,12 @@
 }
 
 // New makes a router from what is told at start.
-func New(seed uint32, desk Desk, cases []UseCase, _ []Tenant, branch Branch, leave Leave,
+func New(seed uint32, desk Desk, cases []UseCase, tenants []Tenant, branch Branch, leave Leave,
 	edge, parent ColdStart, purges Purges) *Router {
 	r := &Router{desk: desk, cases: cases, branch: branch, leave: leave, cold: [2]ColdStart{edge, parent},
-		purge: purges, origin: NoCache, marks: map[uint64]Micros{}, seed: seed,
-		work: make([]float64, len(cases)), ledger: ledger{objects: table.New[object](tableMost)}}
+		purge: purges, origin: NoCache, tenants: tenants, marks: map[uint64]Micros{}, seed: seed,
+		quotas: make([]bucket.Bucket, len(tenants)), work: make([]float64, len(cases)),
+		ledger: ledger{objects: table.New[object](tableMost)}}
 	r.mark = func(id CacheID) uint64 { return r.caches[id].Mark }
 	r.link.most = fillsFirst
 	r.fetch.most = fillsFirst
@@ -91,8 +94,6 @@
 	return r
 }
 
-// ---- The design: what is learned of each object ----
-
 // visited counts a visit: the first observed gap is the first estimate.
 func (l *ledger) visited(key uint64, now Micros) *object {
 	o, made := l.objects.Touch(key)
@@ -167,15 +168,11 @@
 
 // met counts a visit at a cache that should hold a copy still; alpha follows the share that did not.
 func (l *ledger) met(missing bool) {
-	x := 0.0
+	l.share -= theta * l.share
 	if missing {
-		x = 1
-	}
-	l.share += theta * (x - l.share)
-	l.alpha = 0
-	if l.largest > 0 {
-		l.alpha = costFill * math.Max(0, l.share/missTarget-1) / l.largest
+		l.share += theta
 	}
+	l.alpha = costFill * math.Max(0, l.share/missTarget-1) / math.Max(l.largest, 0.001)
 }
 
 // holds tells whether a cache should hold a copy for this visit still.
@@ -186,8 +183,6 @@
 		!(purged && at > o.keptAt) && (fresh == 0 || r.now-o.keptAt < fresh)
 }
 
-// ---- What happens ----
-
 // List takes a list of caches, whole or only what changed.
 func (r *Router) List(list []Listed, whole bool) {
 	r.enter(list, whole, cache{trips: limit{most: tripsFirst}, fills: limit{most: fillsFirst}, load: -1})
@@ -223,7 +218,7 @@
 		v.work = micros(*mean)
 	}
 	v.came = r.now
-	v.ends = r.now + a.Left - answerMargin
+	v.ends, v.over = r.now+a.Left-answerMargin, r.overShare(a.Tenant, quotaBurst)
 	v.aim = min(r.now+use.Expected+Micros(use.Stretch*float64(v.work)), v.ends)
 	if !v.Write {
 		o := r.ledger.visited(v.key, r.now)
@@ -260,8 +255,6 @@
 	r.admit()
 }
 
-// ---- What to do ----
-
 // further decides after a trip that did not deliver.
 func (r *Router) further(v *visit, t *trip, end Ending) {
 	idle := end == Lacking || end == NoRoute // costs little and says nothing of a crowd
@@ -302,7 +295,11 @@
 				continue
 			}
 			left = append(left, id)
-			if worth := r.cases[v.UseCase].Importance / (seconds(v.work) + r.cost(v)); worth > most {
+			worth := r.cases[v.UseCase].Importance / (seconds(v.work) + r.cost(v))
+			if v.over { // a tenant's visits beyond its share wait behind the others
+				worth *= r.tenants[v.Tenant].OverWorth
+			}
+			if worth > most {
 				if e, _, ok := r.plan(v); ok && (e.Source != e.Cache || !v.looked) {
 					best, most = v, worth
 				}
@@ -522,8 +519,6 @@
 	return l
 }
 
-// ---- Guards ----
-
 // isCold and affords ward off pushing a just-started cache over: each router sends it no more than a part of
 // what the rule's multiple allows of the load that a warm one bears from this router; all may do so at once.
 func (r *Router) isCold(c *cache) bool {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"threadrun/internal/bucket"
 )
 
 // The random runs are the same every time.
@@ -206,6 +208,19 @@
 	}
 }
 
+// A tenant's visits within its share are told from those beyond it.
+func TestTenantOverItsShare(t *testing.T) {
+	d := bench(t, plainLeave)
+	d.r.tenants, d.r.quotas = []Tenant{{PerSecond: 4, OverWorth: 0.1}}, make([]bucket.Bucket, 1)
+	d.r.overShare(0, quotaBurst)
+	d.pass(second)
+	for n, over := range []bool{false, false, true} {
+		if got := d.r.overShare(0, quotaBurst); got != over {
+			t.Errorf("visit %d: over its share %v", n, got)
+		}
+	}
+}
+
 // A just-started cache and a just-started parent are sent a part of what the rule allows over any window.
 func TestColdBudget(t *testing.T) {
 	for _, id := range []CacheID{1, 4} {
--- a/decide/state.go
+++ b/decide/state.go
@@ -49,6 +49,7 @@
 	ranAt      CacheID
 	looked     bool // a trip only looked, and found nothing
 	came       Micros
+	over       bool // over its tenant's share
 	lacked     bool // the source was asked for what it holds, and lacks it
 	fillFailed bool // the last trip failed for its source, not its cache
 }
@@ -117,14 +118,16 @@
 	origin   CacheID
 	order    place.Order[CacheID]
 	mark     func(CacheID) uint64
-	waiting  []VisitID  // in the order they came
-	fetch    limit      // fills that the origin may have to bear
-	link     limit      // fills that come in over the branch's link
-	work     []float64  // mean sending time of each use case, in seconds
-	borne    [2]float64 // work a second that one warm cache of a tier delivers for this router
-	done     [2]float64 // since the last tick
-	trouble  float64    // smoothed share of trips that met a crowd
-	heavy    bool       // the router sees overload
+	tenants  []Tenant
+	quotas   []bucket.Bucket // what each tenant has left of its share here
+	waiting  []VisitID       // in the order they came
+	fetch    limit           // fills that the origin may have to bear
+	link     limit           // fills that come in over the branch's link
+	work     []float64       // mean sending time of each use case, in seconds
+	borne    [2]float64      // work a second that one warm cache of a tier delivers for this router
+	done     [2]float64      // since the last tick
+	trouble  float64         // smoothed share of trips that met a crowd
+	heavy    bool            // the router sees overload
 	nextTick Micros
 	lost     bool              // the list must be asked for again
 	marks    map[uint64]Micros // purge marks: object or group, to the time of the purge
@@ -261,6 +264,19 @@
 	}
 }
 
+// overShare counts a visit against this router's part of its tenant's share and tells whether it is over it.
+func (r *Router) overShare(t TenantID, burst float64) bool {
+	if t < 0 || int(t) >= len(r.tenants) {
+		return false
+	}
+	rate := r.tenants[t].PerSecond / float64(max(r.branch.Fleet, 1))
+	if r.quotas[t].Fill(seconds(r.now), rate, max(rate*burst, 1)) < 1 {
+		return true
+	}
+	r.quotas[t].Take(1)
+	return false
+}
+
 // purgedAt finds the last purge that a visit's copy must be younger than.
 func (r *Router) purgedAt(v *visit) (Micros, bool) {
 	at, ok := r.marks[uint64(v.Object)]
--- a/internal/benchwire/post.go
+++ b/internal/benchwire/post.go
@@ -74,7 +74,7 @@
 	var tenants []decide.Tenant
 	for i, t := range in.GetArray("tenants") {
 		p.tenants[str(t, "name")] = decide.TenantID(i)
-		tenants = append(tenants, decide.Tenant{PerSecond: t.GetFloat64("quota_rps")})
+		tenants = append(tenants, decide.Tenant{PerSecond: t.GetFloat64("quota_rps"), OverWorth: in.GetFloat64("over_share_worth")})
 	}
 	zone := p.zones[str(in, "az")]
 	branch := decide.Branch{Zone: zone, Fleet: in.GetInt("fleet_size"),
