Say once how long a visit may wait and what a fill is; drop dead pieces

The last moment for waiting stood in three places (wait, admit, proceed) and the test for a fill in two; each is one method now. The leave to probe went with probing, and the tests lose an unread counter, an unused parameter and a nested if.

--- a/decide/api.go
+++ b/decide/api.go
@@ -95,7 +95,7 @@
 	Trips                     int // for one visit
 	TwoAtOnce, Withdraw       bool
 	Direct, Siblings, AnyZone bool
-	Join, Probe, Ask          bool
+	Join, Ask                 bool
 	LongestComeback           Micros // 0: clients are not told when to come back
 }
 
@@ -181,6 +181,9 @@
 	OriginFailed
 )
 
+// IsFill tells whether the answer came by a fill of its own, whatever the source.
+func (t Trace) IsFill() bool { return t == Filled || t == FilledByOrigin }
+
 // Load is a cache's own report; figures below 0 were not told.
 type Load struct{ InHand, Hits, Link, Busy float64 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -271,11 +271,14 @@
 	r.proceed(v)
 }
 
+// waitsUntil is the last moment at which a trip may still set out and be in time.
+func (v *visit) waitsUntil() Micros { return v.aim - 2*v.work }
+
 // wait holds a visit until there is room for its trip; the wake is for giving it up once it is too late.
 func (r *Router) wait(v *visit) {
 	if v.move(Waiting) {
 		r.waiting = append(r.waiting, v.id)
-		r.desk.Wake(max(v.aim-2*v.work, r.now) + ms)
+		r.desk.Wake(max(v.waitsUntil(), r.now) + ms)
 	}
 }
 
@@ -290,7 +293,7 @@
 			if v == nil || v.state != Waiting {
 				continue
 			}
-			if r.now > v.aim-2*v.work {
+			if r.now > v.waitsUntil() {
 				r.giveUp(v)
 				continue
 			}
@@ -348,7 +351,7 @@
 // proceed sends the next trip, or gives up where there is none to send.
 func (r *Router) proceed(v *visit) {
 	e, mayFill, ok := r.plan(v)
-	if !ok && r.anyUp() && r.now < v.aim-2*v.work {
+	if !ok && r.anyUp() && r.now < v.waitsUntil() {
 		r.wait(v)
 		return
 	}
@@ -559,7 +562,6 @@
 	if rep.Load.InHand >= 0 {
 		c.load = rep.Load.InHand
 	}
-	filled := rep.Trace == Filled || rep.Trace == FilledByOrigin
 	late := r.now > v.aim
 	pressed := r.now > v.aim-Micros(spare*float64(v.aim-v.came))
 	jam := 0.0
@@ -570,7 +572,7 @@
 		if c.Tier != Origin && !r.isCold(c) {
 			r.done[c.Tier] += r.cost(v)
 		}
-		if filled && filling {
+		if rep.Trace.IsFill() && filling {
 			src.quick += quickWeight * (math.Max(0, float64(rep.Elapsed-v.work)) - src.quick)
 			r.answered(src)
 			if src.Tier == Parent && !r.isCold(src) {
@@ -677,7 +679,7 @@
 		return
 	}
 	c := &r.caches[t.cache]
-	filled := rep.Trace == Filled || rep.Trace == FilledByOrigin
+	filled := rep.Trace.IsFill()
 	if c.Tier == Edge && rep.Ending == Delivered && (filled || rep.Trace == Hit || rep.Trace == PastFresh) {
 		if r.holds(v, o, c) {
 			r.ledger.met(filled)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -26,7 +26,7 @@
 		leave.Direct = rapid.Bool().Draw(rt, "direct")
 		leave.Siblings = rapid.Bool().Draw(rt, "siblings")
 		leave.Trips = rapid.IntRange(1, 6).Draw(rt, "trips")
-		d := bench(nil, leave)
+		d := bench(leave)
 		var visits []VisitID
 		for range rapid.IntRange(20, 120).Draw(rt, "steps") {
 			d.pass(Micros(rapid.IntRange(1, 400_000).Draw(rt, "pause")))
@@ -72,7 +72,7 @@
 
 // A cache that comes back from the dead is cold before the list tells of its start, and stays so when it is listed again.
 func TestBackFromTheDeadIsCold(t *testing.T) {
-	d := bench(t, plainLeave)
+	d := bench(plainLeave)
 	d.r.strike(&d.r.caches[1])
 	d.pass(second)
 	d.r.strike(&d.r.caches[1])
@@ -97,7 +97,7 @@
 
 // Shorter gaps rank higher, a newcomer gets the middle rank, and a zero timer passes through unkept.
 func TestRanksFollowGaps(t *testing.T) {
-	d := bench(t, plainLeave)
+	d := bench(plainLeave)
 	l := &d.r.ledger
 	l.typical = math.Log(5)
 	for gap, want := range map[float64]int{0: 2, 1: 3, 60: 2, 200: 1} {
@@ -130,7 +130,7 @@
 
 // After a purge the accepted age is positive and counts from the purge, not from its notice.
 func TestPurgedCopiesAreNotAccepted(t *testing.T) {
-	d := bench(t, plainLeave)
+	d := bench(plainLeave)
 	d.r.Purged(video(3).Object, 0, false, 200*ms)
 	d.r.Clock(d.r.now + 300*ms)
 	d.arrive(video(3))
@@ -141,7 +141,7 @@
 
 // A branch whose caches are crowded keeps off the parents: going straight there only moves the jam.
 func TestCrowdedBranchDoesNotGoStraight(t *testing.T) {
-	d := bench(t, plainLeave)
+	d := bench(plainLeave)
 	for i := range 500 {
 		d.arrive(video(i))
 	}
@@ -161,7 +161,7 @@
 
 // A full link leaves a visit what its cache holds: it is sent to look, and no fill is named.
 func TestFullLinkOnlyLooks(t *testing.T) {
-	d := bench(t, plainLeave)
+	d := bench(plainLeave)
 	d.r.link.most = 1
 	d.arrive(video(1))
 	d.arrive(video(2))
@@ -180,7 +180,7 @@
 
 // A crowded origin leaves a visit what the parent holds: the fill names it, but no fetch.
 func TestCrowdedOriginAsksForWhatIsHeld(t *testing.T) {
-	d := bench(t, plainLeave)
+	d := bench(plainLeave)
 	d.r.fetch.most = 1
 	d.arrive(video(1))
 	d.arrive(video(2))
@@ -197,7 +197,7 @@
 // A hit that leaves little of its expected time cuts its cache's limit, though it is in time; a quick one does not.
 func TestHitThatLeavesLittleTimeCutsTheLimit(t *testing.T) {
 	for took, cut := range map[Micros]bool{100 * ms: false, 600 * ms: true} {
-		d := bench(t, plainLeave)
+		d := bench(plainLeave)
 		d.arrive(video(1))
 		c := &d.r.caches[d.out[0].Cache]
 		d.r.Clock(d.r.now + took)
@@ -210,7 +210,7 @@
 
 // A tenant's visits within its share are told from those beyond it.
 func TestTenantOverItsShare(t *testing.T) {
-	d := bench(t, plainLeave)
+	d := bench(plainLeave)
 	d.r.tenants, d.r.quotas = []Tenant{{PerSecond: 4, OverWorth: 0.1}}, make([]bucket.Bucket, 1)
 	d.r.overShare(0, quotaBurst)
 	d.pass(second)
@@ -224,7 +224,7 @@
 // A just-started cache and a just-started parent are sent a part of what the rule allows over any window.
 func TestColdBudget(t *testing.T) {
 	for _, id := range []CacheID{1, 4} {
-		d := bench(t, plainLeave)
+		d := bench(plainLeave)
 		d.r.borne = [2]float64{2, 2}
 		x := fleet()[id]
 		x.Started = d.r.now
--- a/decide/helpers_test.go
+++ b/decide/helpers_test.go
@@ -1,9 +1,6 @@
 package decide
 
-import (
-	"fmt"
-	"testing"
-)
+import "fmt"
 
 // sent is a trip as the desk saw it.
 type sent struct {
@@ -28,7 +25,6 @@
 	twoAtOne bool
 	released int
 	deferred int
-	scrapped int
 	faults   []string
 	wakes    []Micros
 	due      map[VisitID]Micros
@@ -82,7 +78,7 @@
 	d.answer(v)
 }
 
-func (d *desk) Scrap(v VisitID)          { d.scrapped++; d.answer(v) }
+func (d *desk) Scrap(v VisitID)          { d.answer(v) }
 func (d *desk) Withdraw(VisitID, TripNo) {}
 func (d *desk) Release(VisitID)          { d.released++ }
 func (d *desk) Wake(at Micros)           { d.wakes = append(d.wakes, at) }
@@ -109,10 +105,8 @@
 	if !rep.Ending.ProvesUnrun() {
 		d.maybeRan[s.v] = s.Cache
 	}
-	if rep.Ending == Delivered {
-		if d.answers[s.v] == 0 && !d.left[s.v] {
-			d.answer(s.v)
-		}
+	if rep.Ending == Delivered && d.answers[s.v] == 0 && !d.left[s.v] {
+		d.answer(s.v)
 	}
 	rep.Over = d.answers[s.v] > 0
 	d.r.TripEnded(s.v, rep)
@@ -175,7 +169,7 @@
 	return l
 }
 
-func bench(_ *testing.T, leave Leave) *desk {
+func bench(leave Leave) *desk {
 	d := &desk{cases: testCases, sends: map[VisitID]int{}, answers: map[VisitID]int{}, left: map[VisitID]bool{},
 		maybeRan: map[VisitID]CacheID{}, asked: map[VisitID]Asked{}, told: map[CacheID]Listed{}, due: map[VisitID]Micros{},
 		twoAtOne: leave.TwoAtOnce}
--- a/internal/benchwire/post.go
+++ b/internal/benchwire/post.go
@@ -72,9 +72,10 @@
 		cases = append(cases, u)
 	}
 	var tenants []decide.Tenant
+	beyond := in.GetFloat64("over_share_worth")
 	for i, t := range in.GetArray("tenants") {
 		p.tenants[str(t, "name")] = decide.TenantID(i)
-		tenants = append(tenants, decide.Tenant{PerSecond: t.GetFloat64("quota_rps"), OverWorth: in.GetFloat64("over_share_worth")})
+		tenants = append(tenants, decide.Tenant{PerSecond: t.GetFloat64("quota_rps"), OverWorth: beyond})
 	}
 	zone := p.zones[str(in, "az")]
 	branch := decide.Branch{Zone: zone, Fleet: in.GetInt("fleet_size"),
@@ -87,7 +88,7 @@
 	}
 	leave := decide.Leave{Trips: lim.GetInt("send_cap"), TwoAtOnce: lim.GetBool("parallel_tries"),
 		Withdraw: lim.GetBool("cancelling"), Direct: x.GetBool("direct"), Join: x.GetBool("can_join"),
-		Probe: lim.GetBool("may_probe"), Ask: str(in, "discovery") == "ask",
+		Ask: str(in, "discovery") == "ask",
 	}
 	if lim.GetBool("retry_after") {
 		leave.LongestComeback = micros(lim.GetFloat64("max_retry_after"))
