--- a/decide/decide.go
+++ b/decide/decide.go
@@ -7,18 +7,17 @@
 //
 // The design (learned accepted age) decides each ordinary visit: see judge and plan. Beside it stand:
 //  1. spill: a crowded or resting home cache passes its visits on along the same hash order
-//  2. known copy: a cache of the branch that was seen to hold the object is the source for another
-//  3. limits on what is in flight, up by one, cut by a share: trips at a cache, fills from a source and
-//     over the branch's link, fetches from the origin; a visit still gets what its cache or, when fetches
-//     are short, its parent holds
-//  4. waiting: a visit that finds no room, at a cache or for a fill, waits while it can still be in time
-//  5. rest: a cache or source that shows itself dead is left alone for a while, then tried by one trip
-//  6. cold budgets: a just-started cache or parent gets this router's share of what it can bear
+//  2. limits on what is in flight, up by one, cut by a share: trips at a cache, fills from a source and over
+//     the branch's link, fetches; a visit still gets what its cache or, short of fetches, its parent holds
+//  3. waiting: a visit that finds no room, at a cache or for a fill, waits while it can still be in time
+//  4. rest: a cache or source that shows itself dead is left alone for a while, then tried by one trip
+//  5. cold budgets: a just-started cache or parent gets this router's share of what it can bear
 package decide
 
 import (
 	"fmt"
 	"math"
+	"slices"
 
 	"threadrun/internal/bucket"
 	"threadrun/internal/mix"
@@ -35,27 +34,27 @@
 	costAge    = 5.0
 	missTarget = 0.1 // share of kept copies that may be missing within their timer
 	tableMost  = 1 << 15
-	cutHigh    = 8.0  // rank 3 below this multiple of the typical gap
-	cutLow     = 30.0 // rank 1 above this one
 
-	quotaBurst   = 1.0    // seconds of a tenant's share that may come at once
+	cutHigh, cutLow = 8.0, 30.0 // of the typical gap: rank 3 below the first, rank 1 above the second
+
 	tripsMost    = 3      // one and up to two further ones
 	answerMargin = 4 * ms // a trip ends this long before the client's time is up
 	spillOver    = 1.25   // load over the branch's mean at which the home cache passes visits on
 	spillFree    = 3.0    // visits in hand that never count as crowding
 
-	tripsFirst = 24.0 // limits at the start
+	tripsFirst = 32.0 // limits at the start: at a cache for the whole crew, on fills for each router
 	fillsFirst = 16.0
 	linkFirst  = 2.0 // times the transfers that fit the branch's link at full pace
-	limitLeast = 1.0
+	limitLeast = 1.0 // for all that share a limit; each gets its part, and below one goes by turns
 	limitCut   = 0.7
 	spare      = 0.35     // of the expected time that must be left, or a limit is cut
 	cutPause   = 300 * ms // one cut for one jam
 
-	restFirst   = 300 * ms
-	restMost    = 4 * second
+	restFirst, restMost = 300 * ms, 4 * second
+
 	deadStrikes = 2        // after which a cache that answers again is taken for just started
 	sourceFails = 3        // failures with nothing good meanwhile, after which a source rests
+	doorTimes   = 4        // a refusal that took so many times the quickest answer is its source's
 	quickWeight = 0.1      // of one sample in a source's quickness
 	quickPardon = 0.98     // what is left of a slower parent's figure each time it is passed by
 	quickTie    = 1.3      // sources nearer than this are equally quick: the hash decides
@@ -67,9 +66,9 @@
 	bearWeight  = 0.05
 
 	tickEvery   = 250 * ms
-	troubleOn   = 0.15 // share of trips refused or too slow at which the router sees overload
-	troubleOff  = 0.05
 	troubleStep = 0.02
+
+	troubleOn, troubleOff = 0.15, 0.05 // share of trips refused or too slow at which overload begins and ends
 )
 
 var follows = [...][]State{
@@ -82,12 +81,12 @@
 func New(seed uint32, desk Desk, cases []UseCase, tenants []Tenant, branch Branch, leave Leave,
 	edge, parent ColdStart, purges Purges) *Router {
 	r := &Router{desk: desk, cases: cases, branch: branch, leave: leave, cold: [2]ColdStart{edge, parent},
-		purge: purges, origin: NoCache, tenants: tenants, marks: map[uint64]Micros{}, seed: seed,
+		purge: purges, origin: NoCache, tenants: tenants, marks: map[uint64]Micros{}, seed: seed, door: second,
 		quotas: make([]bucket.Bucket, len(tenants)), work: make([]float64, len(cases)),
 		ledger: ledger{objects: table.New[object](tableMost)}}
 	r.mark = func(id CacheID) uint64 { return r.caches[id].Mark }
-	r.link.most = fillsFirst
-	r.fetch.most = fillsFirst
+	r.link = limit{most: fillsFirst, of: branch.Crew}
+	r.fetch = limit{most: fillsFirst, of: branch.Fleet}
 	if fits := r.fits(); fits > 0 {
 		r.link.most = linkFirst * fits / float64(max(branch.Crew, 1))
 	}
@@ -100,11 +99,7 @@
 	if made {
 		o.kept = NoCache
 	} else if s := seconds(now - o.seen); s > 0 {
-		if o.gap == 0 {
-			o.gap = s
-		} else {
-			o.gap += theta * (s - o.gap)
-		}
+		smooth(&o.gap, s, theta)
 		l.largest = math.Max(l.largest, o.gap)
 		l.typical += theta * (math.Log(o.gap) - l.typical)
 	}
@@ -185,7 +180,9 @@
 
 // List takes a list of caches, whole or only what changed.
 func (r *Router) List(list []Listed, whole bool) {
-	r.enter(list, whole, cache{trips: limit{most: tripsFirst}, fills: limit{most: fillsFirst}, load: -1})
+	crew := r.branch.Crew
+	r.enter(list, whole, cache{load: -1, trips: limit{most: tripsFirst / float64(max(crew, 1)), of: crew},
+		fills: limit{most: fillsFirst, of: r.branch.Fleet}})
 	if r.nextTick == 0 {
 		r.nextTick = r.now + tickEvery
 		r.desk.Wake(r.nextTick)
@@ -195,9 +192,6 @@
 	}
 }
 
-// ListLost tells that the subscription dropped or a call failed; the list in hand stays.
-func (r *Router) ListLost() { r.lost = true }
-
 // Arrive takes a visit; from here on one final answer is owed.
 func (r *Router) Arrive(a Asked) {
 	id, v := r.visits.Take()
@@ -207,18 +201,20 @@
 	use := &r.cases[a.UseCase]
 	v.Write = a.Write || use.Write
 	v.key = mix.Pair(uint64(a.Object), uint64(a.Part))
-	mean := &r.work[a.UseCase]
 	if r.branch.PaceKB > 0 && a.KB > 0 {
+		smooth(&r.work[a.UseCase], a.KB/r.branch.PaceKB, theta)
 		v.work = micros(a.KB / r.branch.PaceKB)
-		if *mean == 0 {
-			*mean = seconds(v.work)
-		}
-		*mean += theta * (seconds(v.work) - *mean)
 	} else {
-		v.work = micros(*mean)
+		v.work = micros(r.work[a.UseCase])
 	}
 	v.came = r.now
-	v.ends, v.over = r.now+a.Left-answerMargin, r.overShare(a.Tenant, quotaBurst)
+	v.ends = r.now + a.Left - answerMargin
+	if t := int(a.Tenant); t >= 0 && t < len(r.tenants) { // each router counts against its even part of a share
+		rate := r.tenants[t].PerSecond / float64(max(r.branch.Fleet, 1))
+		if v.over = r.quotas[t].Fill(seconds(r.now), rate, max(rate, 1)) < 1; !v.over {
+			r.quotas[t].Take(1)
+		}
+	}
 	v.aim = min(r.now+use.Expected+Micros(use.Stretch*float64(v.work)), v.ends)
 	if !v.Write {
 		o := r.ledger.visited(v.key, r.now)
@@ -351,7 +347,8 @@
 // proceed sends the next trip, or gives up where there is none to send.
 func (r *Router) proceed(v *visit) {
 	e, mayFill, ok := r.plan(v)
-	if !ok && r.anyUp() && r.now < v.waitsUntil() {
+	if up := func(id CacheID) bool { return r.usable(&r.caches[id]) }; !ok && slices.ContainsFunc(r.edges, up) &&
+		r.now < v.waitsUntil() { // some cache of the branch is up, if crowded or cold
 		r.wait(v)
 		return
 	}
@@ -361,7 +358,7 @@
 	}
 	t := &v.trips[v.n]
 	*t = trip{cache: e.Cache, source: e.Source, sent: r.now, rank: e.Rank, mayFill: mayFill,
-		fetches: mayFill && !e.HeldOnly && r.caches[e.Source].Tier != Edge, heldOnly: e.HeldOnly}
+		fetches: mayFill && !e.HeldOnly, heldOnly: e.HeldOnly}
 	v.n++
 	v.out++
 	r.book(t, 1)
@@ -397,7 +394,7 @@
 		return r.straight(v, e)
 	}
 	// Wards off a slow or crowded origin: its parents are asked for what they hold, and only that.
-	if !r.fetch.free() && !v.Write && r.caches[e.Source].Tier == Parent {
+	if !r.fetch.free(r.now) && !v.Write && r.caches[e.Source].Tier == Parent {
 		if e.HeldOnly = true; v.lacked {
 			e.HeldOnly, e.Source = false, e.Cache
 		}
@@ -420,7 +417,8 @@
 
 // straight passes the branch's caches by where none of them is up, if the site lets it.
 func (r *Router) straight(v *visit, e Errand) (Errand, bool, bool) {
-	if !r.leave.Direct || r.origin == NoCache || !r.usable(&r.caches[r.origin]) || !r.linkFree(v) {
+	if !r.leave.Direct || r.origin == NoCache || !r.usable(&r.caches[r.origin]) ||
+		!v.Write && !r.link.free(r.now) {
 		return e, false, false
 	}
 	e.Rank, e.Renew, e.Source, e.Oldest = 0, false, r.origin, r.sincePurge(v, e.Oldest)
@@ -428,7 +426,7 @@
 		e.Cache = r.origin
 	}
 	c := &r.caches[e.Cache]
-	return e, true, r.inReach(v, c) && c.trips.free()
+	return e, true, r.inReach(v, c) && c.trips.free(r.now)
 }
 
 // pickEdge takes the object's hashed cache, or the next along the hash order that is not crowded.
@@ -443,7 +441,7 @@
 		if !r.usable(c) || !r.inReach(v, c) || !v.fillFailed && v.triedAt(id) {
 			continue
 		}
-		if !c.trips.free() || !r.affords(c, v) {
+		if !c.trips.free(r.now) || !r.affords(c, v) {
 			crowded = crowded || !r.isCold(c)
 			continue
 		}
@@ -459,12 +457,7 @@
 
 // pickSource names where a miss is filled from; the cache itself means nowhere.
 func (r *Router) pickSource(v *visit, o *object, edge CacheID) CacheID {
-	if o != nil && r.leave.Siblings && v.n == 0 && o.kept != NoCache && o.kept != edge {
-		if c := &r.caches[o.kept]; r.usable(c) && r.holds(v, o, c) && c.trips.free() && r.affords(c, v) {
-			return o.kept
-		}
-	}
-	if !r.linkFree(v) && !r.holds(v, o, &r.caches[edge]) {
+	if !v.Write && !r.link.free(r.now) && !r.holds(v, o, &r.caches[edge]) {
 		return edge
 	}
 	p, up := r.pickParent(v)
@@ -472,16 +465,13 @@
 		return p
 	}
 	if r.origin != NoCache && !up { // crowded parents are up: the origin stands behind them and would jam too
-		if c := &r.caches[r.origin]; r.usable(c) && (c.fills.free() || v.Write) {
+		if c := &r.caches[r.origin]; r.usable(c) && (c.fills.free(r.now) || v.Write) {
 			return r.origin
 		}
 	}
 	return edge
 }
 
-// linkFree tells whether the branch's link takes one more fill.
-func (r *Router) linkFree(v *visit) bool { return v.Write || r.link.free() }
-
 // pickParent takes the quicker of the object's two hashed parents that are up and have room for a fill. It
 // tells whether any warm parent is up at all.
 func (r *Router) pickParent(v *visit) (best CacheID, up bool) {
@@ -492,7 +482,7 @@
 			continue
 		}
 		up = up || !r.isCold(c)
-		if !r.affords(c, v) || !c.fills.free() && !v.Write {
+		if !r.affords(c, v) || !c.fills.free(r.now) && !v.Write {
 			continue
 		}
 		if best == NoCache {
@@ -515,15 +505,11 @@
 }
 
 func (r *Router) loadOf(c *cache) float64 {
-	l := math.Max(float64(c.trips.inUse), c.load)
-	if c.Weight > 0 {
-		l /= c.Weight
-	}
-	return l
+	return math.Max(float64(c.trips.inUse), c.load) / c.Weight
 }
 
-// isCold and affords ward off pushing a just-started cache over: each router sends it no more than a part of
-// what the rule's multiple allows of the load that a warm one bears from this router; all may do so at once.
+// isCold and affords ward off pushing a just-started cache over: each router sends it a part of what the
+// rule's multiple allows of the load that a warm one bears from this router, so that all may do so at once.
 func (r *Router) isCold(c *cache) bool {
 	return c.Tier != Origin && c.Started > 0 && r.now-c.Started < r.cold[c.Tier].Ramp
 }
@@ -532,6 +518,10 @@
 	if !r.isCold(c) {
 		return true
 	}
+	if c.spread != c.Started { // a chance start: else the first trips of all routers would come in step
+		c.spread, c.bucket = c.Started, bucket.Bucket{}
+		c.bucket.Take(-r.chance() * r.cost(v))
+	}
 	s := &r.cold[c.Tier]
 	part := s.Least + (1-s.Least)*float64(r.now-c.Started)/float64(s.Ramp)
 	least := math.Max(budgetFloor, r.fits()/float64(max(len(r.edges), 1))) / float64(max(r.branch.Crew, 1))
@@ -562,6 +552,7 @@
 	if rep.Load.InHand >= 0 {
 		c.load = rep.Load.InHand
 	}
+	r.door = min(r.door, rep.Elapsed)
 	late := r.now > v.aim
 	pressed := r.now > v.aim-Micros(spare*float64(v.aim-v.came))
 	jam := 0.0
@@ -575,39 +566,40 @@
 		if rep.Trace.IsFill() && filling {
 			src.quick += quickWeight * (math.Max(0, float64(rep.Elapsed-v.work)) - src.quick)
 			r.answered(src)
+			r.lastFill = r.now
 			if src.Tier == Parent && !r.isCold(src) {
 				r.done[Parent] += r.cost(v)
 			}
-			r.adjust(&src.fills, !late)
+			r.adjust(&src.fills, t, !late)
 			r.blame(t, !late)
 		} else {
-			r.adjust(&c.trips, !pressed)
+			r.adjust(&c.trips, t, !pressed)
 			if filling && t.mayFill && r.isCold(src) {
 				src.bucket.Take(-r.cost(v))
 			}
 		}
 	case Refused, Failed:
-		v.fillFailed = filling && rep.Trace != NoPlace
+		v.fillFailed = filling && rep.Trace != NoPlace && (rep.Trace != NoTrace || rep.Elapsed > doorTimes*r.door)
 		if rep.Ending == Refused {
 			jam = 1
 		}
 		if v.fillFailed {
-			r.failedSource(src, t)
+			r.failedSource(src, t, !late, rep.Trace == SourceLost)
 		} else if rep.Ending == Refused {
-			r.adjust(&c.trips, false)
+			r.adjust(&c.trips, t, false)
 		}
 	case NoRoute, Broken:
-		r.strike(c)
+		r.strike(c, true)
 	case TooSlow:
 		jam = 1
 		switch {
 		case t.mayFill:
-			r.failedSource(src, t)
+			r.failedSource(src, t, false, false)
 			r.blame(t, false)
 		case c.lastGood < t.sent: // silent: nothing came from it since
-			r.strike(c)
+			r.strike(c, false)
 		default:
-			r.adjust(&c.trips, false)
+			r.adjust(&c.trips, t, false)
 		}
 	case Lacking:
 		v.fillFailed = true
@@ -622,52 +614,60 @@
 // blame moves the limits behind a fill: that on fetches first; fills that fetched nothing cut the link's.
 func (r *Router) blame(t *trip, good bool) {
 	if t.fetches {
-		r.adjust(&r.fetch, good)
+		r.adjust(&r.fetch, t, good)
 	}
 	if good || !t.fetches {
-		r.adjust(&r.link, good)
+		r.adjust(&r.link, t, good)
 	}
 }
 
-// adjust moves a limit: up by one for a limit's worth of ends in time, else cut by a share.
-func (r *Router) adjust(l *limit, good bool) {
+// adjust moves a limit: up by one for a limit's worth of ends in time, else cut by a share. Where many
+// routers share it, it grows slower and may fall below one, with a pause after each trip: one each jams.
+func (r *Router) adjust(l *limit, t *trip, good bool) {
+	of := math.Sqrt(float64(max(l.of, 1)))
 	if good {
 		if float64(l.inUse+1) > l.most/2 {
-			l.most += 1 / l.most
+			l.most += 1 / (of * l.most)
 		}
 	} else if r.now-l.cutAt >= cutPause {
-		l.most, l.cutAt = math.Max(limitLeast, l.most*limitCut), r.now
+		l.most, l.cutAt = math.Max(limitLeast/(of*of), l.most*limitCut), r.now
 	}
+	l.after = r.now + Micros(float64(r.now-t.sent)*math.Max(0, 1/l.most-1))
 }
 
-func (r *Router) strike(c *cache) {
+// strike lets a cache or source rest. One that died is cold from now on, its trials too: it may be back at
+// any moment, the list is seconds late, and all routers together would push it over before it told of it.
+func (r *Router) strike(c *cache, died bool) {
 	if c.restUntil > r.now {
 		return
 	}
 	rest := min(restFirst<<c.strikes, restMost)
 	c.strikes = min(c.strikes+1, 8)
 	c.restUntil = r.now + rest
+	if c.died = c.died || died || c.strikes >= deadStrikes; c.died {
+		c.Started = r.now
+	}
 	r.desk.Note(fmt.Sprintf("cache %d rests %dms after strike %d", c.ID, rest/ms, c.strikes))
 }
 
-// answered takes a good end. A cache back from the dead is taken for just started, until the list says
-// when it did: the list is seconds late, and by then all routers together would have pushed it over.
+// answered takes a good end. A cache back from the dead has just started.
 func (r *Router) answered(c *cache) {
 	if c.strikes > 0 {
 		r.desk.Note(fmt.Sprintf("cache %d back after %d strikes", c.ID, c.strikes))
-		if c.strikes >= deadStrikes {
+		if c.died {
 			c.Started = r.now
 		}
 	}
-	c.strikes, c.fails, c.lastGood = 0, 0, r.now
+	c.strikes, c.fails, c.lastGood, c.died = 0, 0, r.now, false
 }
 
-// failedSource wards off filling from a dead parent: it rests after failures with nothing good meanwhile.
-func (r *Router) failedSource(c *cache, t *trip) {
-	r.adjust(&c.fills, false)
+// failedSource wards off filling from a dead parent. One that can't be reached rests at once, another after
+// failures with nothing good meanwhile; it died if it failed quickly while others filled.
+func (r *Router) failedSource(c *cache, t *trip, quick, lost bool) {
+	r.adjust(&c.fills, t, false)
 	if c.Tier == Parent && c.lastGood < t.sent {
-		if c.fails++; c.fails >= sourceFails {
-			r.strike(c)
+		if c.fails++; quick && lost || c.fails >= sourceFails {
+			r.strike(c, quick && (lost || r.lastFill > c.lastGood))
 		}
 	}
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -73,9 +73,9 @@
 // A cache that comes back from the dead is cold before the list tells of its start, and stays so when it is listed again.
 func TestBackFromTheDeadIsCold(t *testing.T) {
 	d := bench(plainLeave)
-	d.r.strike(&d.r.caches[1])
+	d.r.strike(&d.r.caches[1], false)
 	d.pass(second)
-	d.r.strike(&d.r.caches[1])
+	d.r.strike(&d.r.caches[1], false)
 	d.pass(second)
 	d.r.answered(&d.r.caches[1])
 	d.list(fleet()[1])
@@ -212,10 +212,12 @@
 func TestTenantOverItsShare(t *testing.T) {
 	d := bench(plainLeave)
 	d.r.tenants, d.r.quotas = []Tenant{{PerSecond: 4, OverWorth: 0.1}}, make([]bucket.Bucket, 1)
-	d.r.overShare(0, quotaBurst)
+	a := video(1)
+	a.Tenant = 0
+	d.arrive(a)
 	d.pass(second)
 	for n, over := range []bool{false, false, true} {
-		if got := d.r.overShare(0, quotaBurst); got != over {
+		if got := d.r.visits.Get(d.arrive(a)).over; got != over {
 			t.Errorf("visit %d: over its share %v", n, got)
 		}
 	}
@@ -245,3 +247,61 @@
 		}
 	}
 }
+
+// A parent that died is cold from then on: many routers, each trying it after a rest, stay within its budget together.
+func TestManyRoutersSpareACrowdedReturn(t *testing.T) {
+	const routers, bears = 80, 0.3
+	work := 0.0
+	for i := range routers {
+		d := bench(plainLeave)
+		d.r.seed, d.r.branch.Fleet, d.r.borne = uint32(i), routers, [2]float64{bears, bears}
+		d.r.strike(&d.r.caches[4], true)
+		d.pass(restFirst)
+		for k := range 15 {
+			d.pass(100 * ms)
+			d.arrive(video(k))
+			if s := d.out[len(d.out)-1]; s.Source == 4 {
+				work += 0.1
+			}
+			d.end(0, Report{Ending: Delivered, Trace: Filled, Load: Untold})
+		}
+	}
+	if most := 2 * 0.3 * bears * routers * 1.5; work > most || work == 0 {
+		t.Fatalf("%.1f of work to a parent that may have %.1f", work, most)
+	}
+}
+
+// A limit below one is a pause after each trip; it falls no lower than the router's part of one.
+func TestLimitBelowOneGoesByTurns(t *testing.T) {
+	d := bench(plainLeave)
+	l := &limit{most: 0.5, of: 4}
+	d.r.adjust(l, &trip{sent: d.r.now - 100*ms}, false)
+	if pause := l.after - d.r.now; l.free(d.r.now) || pause < 100*ms || pause > 300*ms || !l.free(l.after) {
+		t.Fatalf("limit %.2f pauses for %d", l.most, pause)
+	}
+	for range 30 {
+		d.r.now += second
+		d.r.adjust(l, &trip{sent: d.r.now}, false)
+	}
+	if l.most != 0.25 {
+		t.Fatalf("limit %.2f", l.most)
+	}
+}
+
+// A refusal at a full cache's door says nothing of the source; one that took a way to the source does.
+func TestRefusalsAtTheDoorAreNotTheSources(t *testing.T) {
+	for took, rests := range map[Micros]bool{ms: false, 20 * ms: true} {
+		d := bench(plainLeave)
+		for i := range 12 {
+			d.r.door = ms
+			d.arrive(video(i))
+			for len(d.out) > 0 {
+				d.r.Clock(d.r.now + took)
+				d.end(0, Report{Ending: Refused, Elapsed: took, Load: Untold})
+			}
+		}
+		if got := d.r.caches[4].strikes+d.r.caches[5].strikes > 0; got != rests {
+			t.Errorf("refused after %d: parents rest %v", took, got)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -57,11 +57,15 @@
 // limit bounds what is in flight somewhere.
 type limit struct {
 	most  float64
+	of    int // routers that share what it bounds
 	inUse int
 	cutAt Micros
+	after Micros // below one: no trip before
 }
 
-func (l *limit) free() bool { return float64(l.inUse) < l.most }
+func (l *limit) free(now Micros) bool {
+	return l.most >= 1 && float64(l.inUse) < l.most || l.inUse == 0 && now >= l.after
+}
 
 // cache is what the router holds of one cache, parent or the origin.
 type cache struct {
@@ -77,6 +81,8 @@
 	quick     float64 // smoothed time that a fill from it takes beyond its bytes
 	bucket    bucket.Bucket
 	fails     int
+	died      bool   // it gave no connection, or struck out
+	spread    Micros // the start that its cold budget was made for
 }
 
 // object is what is learned of one part of an object.
@@ -126,6 +132,8 @@
 	work     []float64       // mean sending time of each use case, in seconds
 	borne    [2]float64      // work a second that one warm cache of a tier delivers for this router
 	done     [2]float64      // since the last tick
+	door     Micros          // the quickest end of a trip yet
+	lastFill Micros          // the last good fill from any source
 	trouble  float64         // smoothed share of trips that met a crowd
 	heavy    bool            // the router sees overload
 	nextTick Micros
@@ -138,6 +146,9 @@
 // Clock tells the time; it never goes back.
 func (r *Router) Clock(now Micros) { r.now = now }
 
+// ListLost tells that the subscription dropped or a call failed; the list in hand stays.
+func (r *Router) ListLost() { r.lost = true }
+
 // Started tells that a streamed answer has begun: no clock of ours runs for it any longer.
 func (r *Router) Started(id VisitID, _ TripNo) {
 	if v := r.visits.Get(id); v != nil {
@@ -209,6 +220,9 @@
 			x.Started = c.Started
 		}
 		c.Listed, c.listed = x, x.Standing != Gone
+		if !(c.Weight > 0) { // not told
+			c.Weight = 1
+		}
 	}
 	r.sort()
 }
@@ -239,44 +253,19 @@
 	r.marks[key] = max(r.marks[key], r.now-ago)
 }
 
-// anyUp tells whether waiting may help: some cache of the branch is up, if crowded or cold.
-func (r *Router) anyUp() bool {
-	for _, id := range r.edges {
-		if r.usable(&r.caches[id]) {
-			return true
-		}
-	}
-	return false
-}
-
 // book enters a trip in the limits it counts in, or takes it out.
 func (r *Router) book(t *trip, n int) {
 	r.caches[t.cache].trips.inUse += n
 	if t.mayFill {
 		src := &r.caches[t.source]
 		src.fills.inUse += n
-		if src.Tier != Edge {
-			r.link.inUse += n
-		}
+		r.link.inUse += n
 		if t.fetches {
 			r.fetch.inUse += n
 		}
 	}
 }
 
-// overShare counts a visit against this router's part of its tenant's share and tells whether it is over it.
-func (r *Router) overShare(t TenantID, burst float64) bool {
-	if t < 0 || int(t) >= len(r.tenants) {
-		return false
-	}
-	rate := r.tenants[t].PerSecond / float64(max(r.branch.Fleet, 1))
-	if r.quotas[t].Fill(seconds(r.now), rate, max(rate*burst, 1)) < 1 {
-		return true
-	}
-	r.quotas[t].Take(1)
-	return false
-}
-
 // purgedAt finds the last purge that a visit's copy must be younger than.
 func (r *Router) purgedAt(v *visit) (Micros, bool) {
 	at, ok := r.marks[uint64(v.Object)]
@@ -296,3 +285,11 @@
 	}
 	return Micros(math.Round(s * 1e6))
 }
+
+// smooth moves a mean by one sample; the first sample is the first estimate.
+func smooth(mean *float64, x, weight float64) {
+	if *mean == 0 {
+		*mean = x
+	}
+	*mean += weight * (x - *mean)
+}
--- a/internal/bucket/bucket.go
+++ b/internal/bucket/bucket.go
@@ -12,8 +12,6 @@
 func (b *Bucket) Fill(now, rate, brim float64) float64 {
 	if b.begun {
 		b.held += rate * (now - b.at)
-	} else {
-		b.held = 0
 	}
 	b.begun, b.at = true, now
 	b.held = min(b.held, brim)
