--- a/decide/decide.go
+++ b/decide/decide.go
@@ -45,10 +45,13 @@
 	tripsFirst = 32.0 // limits at the start: at a cache for the whole crew, on fills for each router
 	fillsFirst = 16.0
 	linkFirst  = 2.0 // times the transfers that fit the branch's link at full pace
-	limitLeast = 1.0 // for all that share a limit; each gets its part, and below one goes by turns
+	few        = 4.0 // sharers of a limit who need not mind one another
 	limitCut   = 0.7
+	idleCut    = 0.005    // for each good end that finds less than half of a limit in use
 	spare      = 0.35     // of the expected time that must be left, or a limit is cut
 	cutPause   = 300 * ms // one cut for one jam
+	lateMore   = 0.15     // share of late ends over the router's at which lateness is a cache's own
+	lateKeeps  = 6.0      // seconds
 
 	restFirst, restMost = 300 * ms, 4 * second
 
@@ -64,9 +67,10 @@
 	budgetBurst = 0.2 // of one window's allowance, at once
 	budgetFloor = 2.0 // work a second that a warm cache or parent is taken to bear where nothing is known
 	bearWeight  = 0.05
+	bearForgets = 0.2 // of that weight for less than before
 
-	tickEvery   = 250 * ms
-	troubleStep = 0.02
+	tickEvery    = 250 * ms
+	troubleKeeps = 1.0 // seconds
 
 	troubleOn, troubleOff = 0.15, 0.05 // share of trips refused or too slow at which overload begins and ends
 )
@@ -80,15 +84,15 @@
 // New makes a router from what is told at start.
 func New(seed uint32, desk Desk, cases []UseCase, tenants []Tenant, branch Branch, leave Leave,
 	edge, parent ColdStart, purges Purges) *Router {
+	branch.Crew, branch.Fleet = max(branch.Crew, 1), max(branch.Fleet, 1)
 	r := &Router{desk: desk, cases: cases, branch: branch, leave: leave, cold: [2]ColdStart{edge, parent},
 		purge: purges, origin: NoCache, tenants: tenants, marks: map[uint64]Micros{}, seed: seed, door: second,
 		quotas: make([]bucket.Bucket, len(tenants)), work: make([]float64, len(cases)),
 		ledger: ledger{objects: table.New[object](tableMost)}}
 	r.mark = func(id CacheID) uint64 { return r.caches[id].Mark }
-	r.link = limit{most: fillsFirst, of: branch.Crew}
-	r.fetch = limit{most: fillsFirst, of: branch.Fleet}
+	r.link, r.fetch = limit{most: fillsFirst, of: branch.Crew}, limit{most: fillsFirst, of: branch.Fleet}
 	if fits := r.fits(); fits > 0 {
-		r.link.most = linkFirst * fits / float64(max(branch.Crew, 1))
+		r.link.most = linkFirst * fits / float64(branch.Crew)
 	}
 	return r
 }
@@ -180,9 +184,8 @@
 
 // List takes a list of caches, whole or only what changed.
 func (r *Router) List(list []Listed, whole bool) {
-	crew := r.branch.Crew
-	r.enter(list, whole, cache{load: -1, trips: limit{most: tripsFirst / float64(max(crew, 1)), of: crew},
-		fills: limit{most: fillsFirst, of: r.branch.Fleet}})
+	trips := limit{most: tripsFirst / float64(r.branch.Crew), of: r.branch.Crew}
+	r.enter(list, whole, cache{load: -1, trips: trips, fills: limit{most: fillsFirst, of: r.branch.Fleet}})
 	if r.nextTick == 0 {
 		r.nextTick = r.now + tickEvery
 		r.desk.Wake(r.nextTick)
@@ -207,10 +210,9 @@
 	} else {
 		v.work = micros(r.work[a.UseCase])
 	}
-	v.came = r.now
-	v.ends = r.now + a.Left - answerMargin
+	v.came, v.ends = r.now, r.now+a.Left-answerMargin
 	if t := int(a.Tenant); t >= 0 && t < len(r.tenants) { // each router counts against its even part of a share
-		rate := r.tenants[t].PerSecond / float64(max(r.branch.Fleet, 1))
+		rate := r.tenants[t].PerSecond / float64(r.branch.Fleet)
 		if v.over = r.quotas[t].Fill(seconds(r.now), rate, max(rate, 1)) < 1; !v.over {
 			r.quotas[t].Take(1)
 		}
@@ -288,8 +290,7 @@
 			v := r.visits.Get(id)
 			if v == nil || v.state != Waiting {
 				continue
-			}
-			if r.now > v.waitsUntil() {
+			} else if r.now > v.waitsUntil() {
 				r.giveUp(v)
 				continue
 			}
@@ -314,10 +315,7 @@
 // mayRepeat wards off a second effect: a trip that may have run binds those after it.
 func (r *Router) mayRepeat(v *visit) bool {
 	use := &r.cases[v.UseCase]
-	if !v.ran || use.Effect == Harmless {
-		return true
-	}
-	return use.Effect == Stamped && r.now-v.ranSince < use.Window-100*ms
+	return !v.ran || use.Effect == Harmless || use.Effect == Stamped && r.now-v.ranSince < use.Window-100*ms
 }
 
 // inReach tells whether a stamped visit's repeat would be known at this cache.
@@ -524,11 +522,11 @@
 	}
 	s := &r.cold[c.Tier]
 	part := s.Least + (1-s.Least)*float64(r.now-c.Started)/float64(s.Ramp)
-	least := math.Max(budgetFloor, r.fits()/float64(max(len(r.edges), 1))) / float64(max(r.branch.Crew, 1))
+	least := math.Max(budgetFloor, r.fits()*c.Weight/r.weight) / float64(r.branch.Crew)
 	if c.Tier == Parent {
-		least = math.Max(budgetFloor, r.fits()) / float64(max(r.branch.Fleet, 1))
+		least = math.Max(budgetFloor, r.fits()) / float64(r.branch.Fleet)
 	}
-	rate := s.Multiple * part * math.Max(r.borne[c.Tier], least)
+	rate := s.Multiple * part * math.Max(r.borne[c.Tier]*c.Weight, least)
 	brim := math.Max(rate*seconds(s.Window)*budgetBurst, r.cost(v))
 	return c.bucket.Fill(seconds(r.now), rate*budgetRate, brim) >= r.cost(v)
 }
@@ -553,37 +551,35 @@
 		c.load = rep.Load.InHand
 	}
 	r.door = min(r.door, rep.Elapsed)
-	late := r.now > v.aim
-	pressed := r.now > v.aim-Micros(spare*float64(v.aim-v.came))
-	jam := 0.0
-	v.fillFailed = false
+	late, pressed := r.now > v.aim, r.now > v.aim-Micros(spare*float64(v.aim-v.came))
+	// Wards off blaming sources for a slow cache, one that is late more often than others.
+	own := rep.Trace != FilledByOrigin && c.late.Share > r.late.Share+lateMore
+	if rep.Ending == Delivered || rep.Ending == TooSlow {
+		c.late.Count(late, seconds(r.now), lateKeeps)
+		r.late.Count(late, seconds(r.now), lateKeeps)
+	}
+	v.fillFailed = rep.Ending == Lacking
 	switch rep.Ending {
 	case Delivered:
-		r.answered(c)
-		if c.Tier != Origin && !r.isCold(c) {
-			r.done[c.Tier] += r.cost(v)
-		}
+		r.answered(c, v)
 		if rep.Trace.IsFill() && filling {
 			src.quick += quickWeight * (math.Max(0, float64(rep.Elapsed-v.work)) - src.quick)
-			r.answered(src)
+			r.answered(src, v)
 			r.lastFill = r.now
-			if src.Tier == Parent && !r.isCold(src) {
-				r.done[Parent] += r.cost(v)
+			if late && own {
+				r.adjust(&c.trips, t, false)
+			} else {
+				r.adjust(&src.fills, t, !late)
+				r.blame(t, !late)
 			}
-			r.adjust(&src.fills, t, !late)
-			r.blame(t, !late)
 		} else {
 			r.adjust(&c.trips, t, !pressed)
-			if filling && t.mayFill && r.isCold(src) {
-				src.bucket.Take(-r.cost(v))
-			}
 		}
 	case Refused, Failed:
 		v.fillFailed = filling && rep.Trace != NoPlace && (rep.Trace != NoTrace || rep.Elapsed > doorTimes*r.door)
-		if rep.Ending == Refused {
-			jam = 1
-		}
-		if v.fillFailed {
+		if rep.Trace == OriginFailed { // nothing is wrong with the parent
+			r.blame(t, false)
+		} else if v.fillFailed {
 			r.failedSource(src, t, !late, rep.Trace == SourceLost)
 		} else if rep.Ending == Refused {
 			r.adjust(&c.trips, t, false)
@@ -591,23 +587,20 @@
 	case NoRoute, Broken:
 		r.strike(c, true)
 	case TooSlow:
-		jam = 1
 		switch {
-		case t.mayFill:
+		case t.mayFill && !own:
 			r.failedSource(src, t, false, false)
 			r.blame(t, false)
-		case c.lastGood < t.sent: // silent: nothing came from it since
+		case !t.mayFill && c.lastGood < t.sent: // silent: nothing came from it since
 			r.strike(c, false)
 		default:
 			r.adjust(&c.trips, t, false)
 		}
-	case Lacking:
-		v.fillFailed = true
 	}
-	r.trouble += troubleStep * (jam - r.trouble)
-	if r.heavy != (r.trouble > troubleOn || r.heavy && r.trouble > troubleOff) {
+	r.trouble.Count(rep.Ending == Refused || rep.Ending == TooSlow, seconds(r.now), troubleKeeps)
+	if s := r.trouble.Share; r.heavy != (s > troubleOn || r.heavy && s > troubleOff) {
 		r.heavy = !r.heavy
-		r.desk.Note(fmt.Sprintf("overload %v: %.2f of trips in trouble", r.heavy, r.trouble))
+		r.desk.Note(fmt.Sprintf("overload %v: %.2f of trips in trouble", r.heavy, s))
 	}
 }
 
@@ -624,13 +617,15 @@
 // adjust moves a limit: up by one for a limit's worth of ends in time, else cut by a share. Where many
 // routers share it, it grows slower and may fall below one, with a pause after each trip: one each jams.
 func (r *Router) adjust(l *limit, t *trip, good bool) {
-	of := math.Sqrt(float64(max(l.of, 1)))
+	of := math.Max(float64(l.of)/few, 1)
 	if good {
 		if float64(l.inUse+1) > l.most/2 {
 			l.most += 1 / (of * l.most)
+		} else {
+			l.most *= 1 - idleCut
 		}
 	} else if r.now-l.cutAt >= cutPause {
-		l.most, l.cutAt = math.Max(limitLeast/(of*of), l.most*limitCut), r.now
+		l.most, l.cutAt = math.Max(1/float64(l.of), l.most*limitCut), r.now
 	}
 	l.after = r.now + Micros(float64(r.now-t.sent)*math.Max(0, 1/l.most-1))
 }
@@ -651,7 +646,10 @@
 }
 
 // answered takes a good end. A cache back from the dead has just started.
-func (r *Router) answered(c *cache) {
+func (r *Router) answered(c *cache, v *visit) {
+	if c.Tier != Origin && !r.isCold(c) {
+		r.done[c.Tier] += r.cost(v)
+	}
 	if c.strikes > 0 {
 		r.desk.Note(fmt.Sprintf("cache %d back after %d strikes", c.ID, c.strikes))
 		if c.died {
@@ -678,8 +676,7 @@
 	if v.Write || o == nil {
 		return
 	}
-	c := &r.caches[t.cache]
-	filled := rep.Trace.IsFill()
+	c, filled := &r.caches[t.cache], rep.Trace.IsFill()
 	if c.Tier == Edge && rep.Ending == Delivered && (filled || rep.Trace == Hit || rep.Trace == PastFresh) {
 		if r.holds(v, o, c) {
 			r.ledger.met(filled)
@@ -704,14 +701,18 @@
 	r.nextTick = r.now + tickEvery
 	r.desk.Wake(r.nextTick)
 	for tier, ids := range [2][]CacheID{r.edges, r.parents} {
-		warm := 0
+		warm := 0.0
 		for _, id := range ids {
 			if c := &r.caches[id]; c.restUntil <= r.now && !r.isCold(c) {
-				warm++
+				warm += c.Weight
 			}
 		}
 		if warm > 0 { // with all of them cold or gone, what they bore before still counts
-			r.borne[tier] += bearWeight * (r.done[tier]/seconds(tickEvery)/float64(warm) - r.borne[tier])
+			more := r.done[tier]/seconds(tickEvery)/warm - r.borne[tier]
+			if more < 0 { // a crisis is no proof that they can bear less
+				more *= bearForgets
+			}
+			r.borne[tier] += bearWeight * more
 		}
 		r.done[tier] = 0
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -5,6 +5,7 @@
 	"math"
 
 	"threadrun/internal/bucket"
+	"threadrun/internal/drift"
 	"threadrun/internal/mix"
 	"threadrun/internal/place"
 	"threadrun/internal/slab"
@@ -81,8 +82,9 @@
 	quick     float64 // smoothed time that a fill from it takes beyond its bytes
 	bucket    bucket.Bucket
 	fails     int
-	died      bool   // it gave no connection, or struck out
-	spread    Micros // the start that its cold budget was made for
+	late      drift.Drift // share of its ends that were late, lately
+	died      bool        // it gave no connection, or struck out
+	spread    Micros      // the start that its cold budget was made for
 }
 
 // object is what is learned of one part of an object.
@@ -130,11 +132,13 @@
 	fetch    limit           // fills that the origin may have to bear
 	link     limit           // fills that come in over the branch's link
 	work     []float64       // mean sending time of each use case, in seconds
-	borne    [2]float64      // work a second that one warm cache of a tier delivers for this router
+	borne    [2]float64      // work a second and weight that warm caches of a tier deliver for this router
 	done     [2]float64      // since the last tick
+	weight   float64         // of the branch's caches together
 	door     Micros          // the quickest end of a trip yet
+	late     drift.Drift     // share of its trips' ends that were late, lately
 	lastFill Micros          // the last good fill from any source
-	trouble  float64         // smoothed share of trips that met a crowd
+	trouble  drift.Drift     // share of trips that met a crowd
 	heavy    bool            // the router sees overload
 	nextTick Micros
 	lost     bool              // the list must be asked for again
@@ -229,7 +233,7 @@
 
 // sort finds the branch's caches, the parents and the origin on the list.
 func (r *Router) sort() {
-	r.edges, r.parents, r.origin = r.edges[:0], r.parents[:0], NoCache
+	r.edges, r.parents, r.origin, r.weight = r.edges[:0], r.parents[:0], NoCache, 0
 	for i := range r.caches {
 		c := &r.caches[i]
 		switch {
@@ -240,6 +244,7 @@
 			r.origin = c.ID
 		case c.Zone == r.branch.Zone:
 			r.edges = append(r.edges, c.ID)
+			r.weight += c.Weight
 		}
 	}
 }
