Smooth a source's quickness by time and count its failures in it

A parent that grows slow ends its fills in time-outs and faults, which its quickness took no notice of; and a router that sees one fill a second from a parent needed ten seconds to learn it was slow.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -58,7 +58,7 @@
 	deadStrikes = 2        // after which a cache that answers again is taken for just started
 	sourceFails = 3        // failures with nothing good meanwhile, after which a source rests
 	doorTimes   = 4        // a refusal that took so many times the quickest answer is its source's
-	quickWeight = 0.1      // of one sample in a source's quickness
+	quickKeeps  = 5.0      // seconds
 	quickPardon = 0.98     // what is left of a slower parent's figure each time it is passed by
 	quickTie    = 1.3      // sources nearer than this are equally quick: the hash decides
 	quickBase   = 20_000.0 // added to both
@@ -202,8 +202,7 @@
 	v.move(Arrived)
 	r.desk.Taken(id)
 	use := &r.cases[a.UseCase]
-	v.Write = a.Write || use.Write
-	v.key = mix.Pair(uint64(a.Object), uint64(a.Part))
+	v.Write, v.key = a.Write || use.Write, mix.Pair(uint64(a.Object), uint64(a.Part))
 	if r.branch.PaceKB > 0 && a.KB > 0 {
 		smooth(&r.work[a.UseCase], a.KB/r.branch.PaceKB, theta)
 		v.work = micros(a.KB / r.branch.PaceKB)
@@ -488,8 +487,8 @@
 			continue
 		}
 		b := &r.caches[best]
-		if (c.quick+quickBase)*quickTie < b.quick+quickBase {
-			best, b.quick = id, b.quick*quickPardon // else a parent once slow would never be asked again
+		if (c.quick.Mean+quickBase)*quickTie < b.quick.Mean+quickBase {
+			best, b.quick.Mean = id, b.quick.Mean*quickPardon // else a parent once slow would never be asked again
 		}
 		break
 	}
@@ -553,7 +552,7 @@
 	r.door = min(r.door, rep.Elapsed)
 	late, pressed := r.now > v.aim, r.now > v.aim-Micros(spare*float64(v.aim-v.came))
 	// Wards off blaming sources for a slow cache, one that is late more often than others.
-	own := rep.Trace != FilledByOrigin && c.late.Share > r.late.Share+lateMore
+	own := rep.Trace != FilledByOrigin && c.late.Mean > r.late.Mean+lateMore
 	if rep.Ending == Delivered || rep.Ending == TooSlow {
 		c.late.Count(late, seconds(r.now), lateKeeps)
 		r.late.Count(late, seconds(r.now), lateKeeps)
@@ -563,7 +562,7 @@
 	case Delivered:
 		r.answered(c, v)
 		if rep.Trace.IsFill() && filling {
-			src.quick += quickWeight * (math.Max(0, float64(rep.Elapsed-v.work)) - src.quick)
+			src.quick.Add(math.Max(0, float64(rep.Elapsed-v.work)), seconds(r.now), quickKeeps)
 			r.answered(src, v)
 			r.lastFill = r.now
 			if late && own {
@@ -598,7 +597,7 @@
 		}
 	}
 	r.trouble.Count(rep.Ending == Refused || rep.Ending == TooSlow, seconds(r.now), troubleKeeps)
-	if s := r.trouble.Share; r.heavy != (s > troubleOn || r.heavy && s > troubleOff) {
+	if s := r.trouble.Mean; r.heavy != (s > troubleOn || r.heavy && s > troubleOff) {
 		r.heavy = !r.heavy
 		r.desk.Note(fmt.Sprintf("overload %v: %.2f of trips in trouble", r.heavy, s))
 	}
@@ -663,6 +662,7 @@
 // failures with nothing good meanwhile; it died if it failed quickly while others filled.
 func (r *Router) failedSource(c *cache, t *trip, quick, lost bool) {
 	r.adjust(&c.fills, t, false)
+	c.quick.Add(math.Max(c.quick.Mean, float64(r.now-t.sent)), seconds(r.now), quickKeeps)
 	if c.Tier == Parent && c.lastGood < t.sent {
 		if c.fails++; quick && lost || c.fails >= sourceFails {
 			r.strike(c, quick && (lost || r.lastFill > c.lastGood))
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -328,7 +328,7 @@
 		d.arrive(video(1))
 		s := d.out[0]
 		if slow {
-			d.r.caches[s.Cache].late.Share = 0.9
+			d.r.caches[s.Cache].late.Mean = 0.9
 		}
 		cache, fetch := d.r.caches[s.Cache].trips.most, d.r.fetch.most
 		d.pass(1200 * ms)
--- a/decide/state.go
+++ b/decide/state.go
@@ -78,8 +78,8 @@
 	strikes   int
 	restUntil Micros
 	lastGood  Micros
-	load      float64 // visits held there, by its own report
-	quick     float64 // smoothed time that a fill from it takes beyond its bytes
+	load      float64     // visits held there, by its own report
+	quick     drift.Drift // smoothed time that a fill from it takes beyond its bytes
 	bucket    bucket.Bucket
 	fails     int
 	late      drift.Drift // share of its ends that were late, lately
--- a/internal/drift/drift.go
+++ b/internal/drift/drift.go
@@ -1,19 +1,25 @@
-// Package drift is a share of events smoothed over time, so that it means the same where events are few and many.
+// Package drift is a mean smoothed over time, so that it means the same where samples are few and many.
 package drift
 
 import "math"
 
-// Drift is the share of events lately that counted; the zero value is a share of none.
+// Drift is a mean of late; the zero value is a mean of nothing.
 type Drift struct {
-	Share float64
-	at    float64
+	Mean float64
+	at   float64
 }
 
-// Count takes one event. What was before fades by e over the given span; times are in seconds.
+// Add takes one sample. What was before fades by e over the given span; times are in seconds.
+func (d *Drift) Add(x, now, keeps float64) {
+	d.Mean += (x - d.Mean) * -math.Expm1((d.at-now)/keeps)
+	d.at = now
+}
+
+// Count takes an event that counts or not: the mean is the share of those that do.
 func (d *Drift) Count(yes bool, now, keeps float64) {
-	w := -math.Expm1((d.at - now) / keeps)
-	d.Share, d.at = d.Share*(1-w), now
+	x := 0.0
 	if yes {
-		d.Share += w
+		x = 1
 	}
+	d.Add(x, now, keeps)
 }
