--- a/decide/api.go
+++ b/decide/api.go
@@ -95,7 +95,7 @@
 	Trips                     int // for one visit
 	TwoAtOnce, Withdraw       bool
 	Direct, Siblings, AnyZone bool
-	Join, Ask                 bool
+	Join, Ask, Told           bool   // Told: trips tell how they were filled, or why not
 	LongestComeback           Micros // 0: clients are not told when to come back
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -241,10 +241,7 @@
 	}
 	r.observe(v, t, rep)
 	r.learn(v, t, rep)
-	if rep.Over {
-		v.move(Answered)
-	}
-	if v.state == Answered {
+	if rep.Over && v.move(Answered) || v.state == Answered {
 		r.release(v)
 	} else if v.out == 0 && v.move(Between) {
 		r.further(v, t, rep.Ending)
@@ -552,6 +549,9 @@
 	r.door = min(r.door, rep.Elapsed)
 	late, pressed := r.now > v.aim, r.now > v.aim-Micros(spare*float64(v.aim-v.came))
 	// Wards off blaming sources for a slow cache, one that is late more often than others.
+	if r.leave.Told && late && rep.Ending == Delivered && (rep.Trace == Filled || rep.Elapsed < v.aim-v.came) {
+		t.fetches = false // wards off blaming the origin for a parent's own copy, or for waiting here
+	}
 	own := rep.Trace != FilledByOrigin && c.late.Mean > r.late.Mean+lateMore
 	if rep.Ending == Delivered || rep.Ending == TooSlow {
 		c.late.Count(late, seconds(r.now), lateKeeps)
--- a/internal/benchwire/post.go
+++ b/internal/benchwire/post.go
@@ -88,7 +88,7 @@
 	}
 	leave := decide.Leave{Trips: lim.GetInt("send_cap"), TwoAtOnce: lim.GetBool("parallel_tries"),
 		Withdraw: lim.GetBool("cancelling"), Direct: x.GetBool("direct"), Join: x.GetBool("can_join"),
-		Ask: str(in, "discovery") == "ask",
+		Ask: str(in, "discovery") == "ask", Told: str(x, "detail") == "all",
 	}
 	if lim.GetBool("retry_after") {
 		leave.LongestComeback = micros(lim.GetFloat64("max_retry_after"))
