Move no visit by the load caches tell: spill by limits, rest and cold starts only

At full size loads told by caches vary by chance and come late; two objects in three changed their cache in a run with reports, three in a hundred without. Each move is a miss elsewhere.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -6,7 +6,7 @@
 // that call. state.go has the records, and move, the one function that changes a visit's state.
 //
 // The design (learned accepted age) decides each ordinary visit: see judge and plan. Beside it stand:
-//  1. spill: a crowded or resting home cache passes its visits on along the same hash order
+//  1. spill: a home cache without room or at rest passes its visits on along the same hash order
 //  2. limits on what is in flight, up by one, cut by a share: trips at a cache, fills from a source and over
 //     the branch's link, fetches; a visit still gets what its cache or, short of fetches, its parent holds
 //  3. waiting: a visit that finds no room, at a cache or for a fill, waits while it can still be in time
@@ -39,8 +39,6 @@
 
 	tripsMost    = 3      // one and up to two further ones
 	answerMargin = 4 * ms // a trip ends this long before the client's time is up
-	spillOver    = 1.25   // load over the branch's mean at which the home cache passes visits on
-	spillFree    = 3.0    // visits in hand that never count as crowding
 
 	tripsFirst = 32.0 // limits at the start: at a cache for the whole crew, on fills for each router
 	fillsFirst = 16.0
@@ -185,7 +183,7 @@
 // List takes a list of caches, whole or only what changed.
 func (r *Router) List(list []Listed, whole bool) {
 	trips := limit{most: tripsFirst / float64(r.branch.Crew), of: r.branch.Crew}
-	r.enter(list, whole, cache{load: -1, trips: trips, fills: limit{most: fillsFirst, of: r.branch.Fleet}})
+	r.enter(list, whole, cache{trips: trips, fills: limit{most: fillsFirst, of: r.branch.Fleet}})
 	if r.nextTick == 0 {
 		r.nextTick = r.now + tickEvery
 		r.desk.Wake(r.nextTick)
@@ -423,30 +421,20 @@
 	return e, true, r.inReach(v, c) && c.trips.free(r.now)
 }
 
-// pickEdge takes the object's hashed cache, or the next along the hash order that is not crowded.
-func (r *Router) pickEdge(v *visit) (best CacheID, crowded bool) {
-	mean := 0.0
-	for _, id := range r.edges {
-		mean += r.loadOf(&r.caches[id]) / float64(len(r.edges))
-	}
-	best = NoCache
+// pickEdge takes the object's hashed cache, or the next along the hash order that is up and has room. Load
+// told by caches moves no visit: an object moved for a moment's load is a miss elsewhere.
+func (r *Router) pickEdge(v *visit) (id CacheID, crowded bool) {
 	for _, id := range r.order.By(v.key, r.edges, r.mark) {
 		c := &r.caches[id]
 		if !r.usable(c) || !r.inReach(v, c) || !v.fillFailed && v.triedAt(id) {
 			continue
 		}
-		if !c.trips.free(r.now) || !r.affords(c, v) {
-			crowded = crowded || !r.isCold(c)
-			continue
-		}
-		if r.loadOf(c) <= mean*spillOver+spillFree {
+		if c.trips.free(r.now) && r.affords(c, v) {
 			return id, false
 		}
-		if best == NoCache {
-			best = id
-		}
+		crowded = crowded || !r.isCold(c)
 	}
-	return best, crowded
+	return NoCache, crowded
 }
 
 // pickSource names where a miss is filled from; the cache itself means nowhere.
@@ -498,10 +486,6 @@
 	return c.listed && c.Standing == Up && c.restUntil <= r.now && (c.strikes == 0 || idle)
 }
 
-func (r *Router) loadOf(c *cache) float64 {
-	return math.Max(float64(c.trips.inUse), c.load) / c.Weight
-}
-
 // isCold and affords ward off pushing a just-started cache over: each router sends it a part of what the
 // rule's multiple allows of the load that a warm one bears from this router, so that all may do so at once.
 func (r *Router) isCold(c *cache) bool {
@@ -543,9 +527,6 @@
 func (r *Router) observe(v *visit, t *trip, rep Report) {
 	c, src := &r.caches[t.cache], &r.caches[t.source]
 	filling := t.source != t.cache
-	if rep.Load.InHand >= 0 {
-		c.load = rep.Load.InHand
-	}
 	r.door = min(r.door, rep.Elapsed)
 	late, pressed := r.now > v.aim, r.now > v.aim-Micros(spare*float64(v.aim-v.came))
 	// Wards off blaming sources for a slow cache, one that is late more often than others.
--- a/decide/state.go
+++ b/decide/state.go
@@ -78,7 +78,6 @@
 	strikes   int
 	restUntil Micros
 	lastGood  Micros
-	load      float64     // visits held there, by its own report
 	quick     drift.Drift // smoothed time that a fill from it takes beyond its bytes
 	bucket    bucket.Bucket
 	fails     int
