Limits at caches start at 20 for a crew; limits grow slower from two and a half sharers on

Crowded branches began with more visits in each cache than it can serve in time, and took them back too soon after each cut.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -40,10 +40,10 @@
 	tripsMost    = 3      // one and up to two further ones
 	answerMargin = 4 * ms // a trip ends this long before the client's time is up
 
-	tripsFirst = 32.0 // limits at the start: at a cache for the whole crew, on fills for each router
+	tripsFirst = 20.0 // limits at the start: at a cache for the whole crew, on fills for each router
 	fillsFirst = 16.0
 	linkFirst  = 2.0 // times the transfers that fit the branch's link at full pace
-	few        = 4.0 // sharers of a limit who need not mind one another
+	few        = 2.5 // sharers of a limit who need not mind one another
 	limitCut   = 0.7
 	idleCut    = 0.005    // for each good end that finds less than half of a limit in use
 	spare      = 0.35     // of the expected time that must be left, or a limit is cut
