--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,6 +41,7 @@
 	answerMargin = 4 * ms // a trip ends this long before the client's time is up
 
 	tripsFirst = 20.0 // limits at the start: at a cache for the whole crew, on fills for each router
+	tripsSlow  = 2    // limits at caches grow slower by this: visits in them take long to drain
 	fillsFirst = 16.0
 	linkFirst  = 2.0 // times the transfers that fit the branch's link at full pace
 	few        = 2.5 // sharers of a limit who need not mind one another
@@ -182,7 +183,7 @@
 
 // List takes a list of caches, whole or only what changed.
 func (r *Router) List(list []Listed, whole bool) {
-	trips := limit{most: tripsFirst / float64(r.branch.Crew), of: r.branch.Crew}
+	trips := limit{most: tripsFirst / float64(r.branch.Crew), of: tripsSlow * r.branch.Crew}
 	r.enter(list, whole, cache{trips: trips, fills: limit{most: fillsFirst, of: r.branch.Fleet}})
 	if r.nextTick == 0 {
 		r.nextTick = r.now + tickEvery
