One broken connection is no death; smaller cold budgets where sizes are not told

A fifth of all connections broke; each break took a cache for dead and cold. Cold budgets of 1.6 times what the mean cache bears pushed the smallest over at full load.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -63,6 +63,7 @@
 	quickBase   = 20_000.0 // added to both
 
 	budgetRate  = 0.8 // of a cold cache's allowance, as a steady rate
+	budgetBlind = 0.7 // of that where sizes are not told
 	budgetBurst = 0.2 // of one window's allowance, at once
 	budgetFloor = 2.0 // work a second that a warm cache or parent is taken to bear where nothing is known
 	bearWeight  = 0.05
@@ -508,6 +509,9 @@
 		least = math.Max(budgetFloor, r.fits()) / float64(r.branch.Fleet)
 	}
 	rate := s.Multiple * part * math.Max(r.borne[c.Tier]*c.Weight, least)
+	if c.Weight == 1 { // its size is not told: it may be the smallest
+		rate *= budgetBlind
+	}
 	brim := math.Max(rate*seconds(s.Window)*budgetBurst, r.cost(v))
 	return c.bucket.Fill(seconds(r.now), rate*budgetRate, brim) >= r.cost(v)
 }
@@ -565,8 +569,12 @@
 		} else if rep.Ending == Refused {
 			r.adjust(&c.trips, t, false)
 		}
-	case NoRoute, Broken:
+	case NoRoute:
 		r.strike(c, true)
+	case Broken: // one may be the way's; a process that died breaks all it holds, and then gives no connection
+		if c.fails++; c.fails >= sourceFails {
+			r.strike(c, true)
+		}
 	case TooSlow:
 		switch {
 		case t.mayFill && !own:
