Three broken connections let a cache rest; only two rests or no connection are a death

Some caches broke a fifth of their connections and were good otherwise; a rest and a trial serve there, a cold budget for the whole ramp does not.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -571,9 +571,9 @@
 		}
 	case NoRoute:
 		r.strike(c, true)
-	case Broken: // one may be the way's; a process that died breaks all it holds, and then gives no connection
+	case Broken: // may be the way's: a process that died gives no connection next
 		if c.fails++; c.fails >= sourceFails {
-			r.strike(c, true)
+			r.strike(c, false)
 		}
 	case TooSlow:
 		switch {
