--- a/decide/decide.go
+++ b/decide/decide.go
@@ -63,7 +63,7 @@
 	quickBase   = 20_000.0 // added to both
 
 	budgetRate  = 0.8 // of a cold cache's allowance, as a steady rate
-	budgetBlind = 0.7 // of that where sizes are not told
+	budgetBlind = 0.7 // of that where many routers each have a visit's burst and sizes are not told
 	budgetBurst = 0.2 // of one window's allowance, at once
 	budgetFloor = 2.0 // work a second that a warm cache or parent is taken to bear where nothing is known
 	bearWeight  = 0.05
@@ -509,7 +509,7 @@
 		least = math.Max(budgetFloor, r.fits()) / float64(r.branch.Fleet)
 	}
 	rate := s.Multiple * part * math.Max(r.borne[c.Tier]*c.Weight, least)
-	if c.Weight == 1 { // its size is not told: it may be the smallest
+	if c.Weight == 1 && float64(r.branch.Crew) > few { // its size is not told: it may be the smallest
 		rate *= budgetBlind
 	}
 	brim := math.Max(rate*seconds(s.Window)*budgetBurst, r.cost(v))
