--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -377,3 +377,33 @@
 		}
 	}
 }
+
+// still is a desk that takes results and keeps only the last visit and trip.
+type still struct {
+	v VisitID
+	e Errand
+}
+
+func (s *still) Taken(v VisitID)          { s.v = v }
+func (s *still) Send(_ VisitID, e Errand) { s.e = e }
+func (*still) Defer(VisitID, Micros)      {}
+func (*still) Scrap(VisitID)              {}
+func (*still) Withdraw(VisitID, TripNo)   {}
+func (*still) Release(VisitID)            {}
+func (*still) Wake(Micros)                {}
+func (*still) Follow()                    {}
+func (*still) Note(string)                {}
+
+// The ordinary path, a visit and its one trip, allocates nothing.
+func TestOrdinaryPathAllocatesNothing(t *testing.T) {
+	d, s := bench(plainLeave), &still{}
+	d.r.desk = s
+	a := video(1)
+	if n := testing.AllocsPerRun(1000, func() {
+		d.r.now += 20 * ms
+		d.r.Arrive(a)
+		d.r.TripEnded(s.v, Report{Ending: Delivered, Trace: Hit, Over: true, Elapsed: 10 * ms, Load: Untold})
+	}); n != 0 {
+		t.Fatalf("%v allocations a visit", n)
+	}
+}
