Drop the load reports that no decision reads; put a comment where it belongs

Since spill goes by limits only, what caches tell of their load was decoded at the end of every trip and read by nobody: Load, Untold, Report.Load and the adapter's decoding are gone, as is an unread field of a test's desk. The comment on slow caches stands at its line again.

--- a/decide/api.go
+++ b/decide/api.go
@@ -184,12 +184,6 @@
 // IsFill tells whether the answer came by a fill of its own, whatever the source.
 func (t Trace) IsFill() bool { return t == Filled || t == FilledByOrigin }
 
-// Load is a cache's own report; figures below 0 were not told.
-type Load struct{ InHand, Hits, Link, Busy float64 }
-
-// Untold is the report of a cache that told nothing.
-var Untold = Load{-1, -1, -1, -1}
-
 // Report is the end of one trip.
 type Report struct {
 	Trip     TripNo
@@ -198,7 +192,6 @@
 	Over     bool // the visit has its final answer
 	Elapsed  Micros
 	FirstOut Micros // to the source's first byte, where told
-	Load     Load
 }
 
 // Desk takes the router's results. It is called only from within the router's own calls.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -534,10 +534,10 @@
 	filling := t.source != t.cache
 	r.door = min(r.door, rep.Elapsed)
 	late, pressed := r.now > v.aim, r.now > v.aim-Micros(spare*float64(v.aim-v.came))
-	// Wards off blaming sources for a slow cache, one that is late more often than others.
 	if r.leave.Told && late && rep.Ending == Delivered && (rep.Trace == Filled || rep.Elapsed < v.aim-v.came) {
 		t.fetches = false // wards off blaming the origin for a parent's own copy, or for waiting here
 	}
+	// Wards off blaming sources for a slow cache, one that is late more often than others.
 	own := rep.Trace != FilledByOrigin && c.late.Mean > r.late.Mean+lateMore
 	if rep.Ending == Delivered || rep.Ending == TooSlow {
 		c.late.Count(late, seconds(r.now), lateKeeps)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -39,7 +39,7 @@
 			case step <= 6 && len(d.out) > 0:
 				i := rapid.IntRange(0, len(d.out)-1).Draw(rt, "trip")
 				e := Ending(rapid.IntRange(0, int(Lacking)).Draw(rt, "ending"))
-				d.end(i, Report{Ending: e, Trace: Trace(rapid.IntRange(0, int(OriginFailed)).Draw(rt, "trace")), Load: Untold})
+				d.end(i, Report{Ending: e, Trace: Trace(rapid.IntRange(0, int(OriginFailed)).Draw(rt, "trace"))})
 			case step == 7:
 				x := fleet()[rapid.IntRange(0, 6).Draw(rt, "cache")]
 				x.Standing = Standing(rapid.IntRange(0, 2).Draw(rt, "standing"))
@@ -168,11 +168,11 @@
 	if a, b := d.out[0].Errand, d.out[1].Errand; a.Source == a.Cache || b.Source != b.Cache {
 		t.Fatalf("%+v, then %+v", a, b)
 	}
-	d.end(1, Report{Ending: Lacking, Load: Untold})
+	d.end(1, Report{Ending: Lacking})
 	if len(d.out) != 1 || d.deferred != 0 {
 		t.Fatal("not waiting for a fill")
 	}
-	d.end(0, Report{Ending: Delivered, Trace: Filled, Load: Untold})
+	d.end(0, Report{Ending: Delivered, Trace: Filled})
 	if len(d.out) != 1 || d.out[0].Source == d.out[0].Cache {
 		t.Fatal("the fill that came free was not given out")
 	}
@@ -187,8 +187,8 @@
 	if a, b := d.out[0].Errand, d.out[1].Errand; a.HeldOnly || !b.HeldOnly || d.told[b.Source].Tier != Parent {
 		t.Fatalf("%+v, then %+v", a, b)
 	}
-	d.end(1, Report{Ending: Lacking, Load: Untold})
-	d.end(0, Report{Ending: Delivered, Trace: Filled, Load: Untold})
+	d.end(1, Report{Ending: Lacking})
+	d.end(0, Report{Ending: Delivered, Trace: Filled})
 	if len(d.out) != 1 || d.out[0].HeldOnly {
 		t.Fatal("the fetch that came free was not given out")
 	}
@@ -202,7 +202,7 @@
 		c := &d.r.caches[d.out[0].Cache]
 		before := c.trips.most
 		d.r.Clock(d.r.now + took)
-		d.end(0, Report{Ending: Delivered, Trace: Hit, Elapsed: took, Load: Untold})
+		d.end(0, Report{Ending: Delivered, Trace: Hit, Elapsed: took})
 		if (c.trips.most < before*0.9) != cut {
 			t.Errorf("a hit of %v leaves the limit at %v", took, c.trips.most)
 		}
@@ -240,7 +240,7 @@
 				work += 0.1
 			}
 			for len(d.out) > 0 {
-				d.end(0, Report{Ending: Delivered, Trace: Filled, Load: Untold})
+				d.end(0, Report{Ending: Delivered, Trace: Filled})
 			}
 		}
 		if most := 2 * 0.3 * 2 * 1.5; work > most || work == 0 {
@@ -264,7 +264,7 @@
 			if s := d.out[len(d.out)-1]; s.Source == 4 {
 				work += 0.1
 			}
-			d.end(0, Report{Ending: Delivered, Trace: Filled, Load: Untold})
+			d.end(0, Report{Ending: Delivered, Trace: Filled})
 		}
 	}
 	if most := 2 * 0.3 * bears * routers * 1.5; work > most || work == 0 {
@@ -298,7 +298,7 @@
 			d.arrive(video(i))
 			for len(d.out) > 0 {
 				d.r.Clock(d.r.now + took)
-				d.end(0, Report{Ending: Refused, Elapsed: took, Load: Untold})
+				d.end(0, Report{Ending: Refused, Elapsed: took})
 			}
 		}
 		if got := d.r.caches[4].strikes+d.r.caches[5].strikes > 0; got != rests {
@@ -313,7 +313,7 @@
 	before := d.r.fetch.most
 	for i := range 4 {
 		d.arrive(video(i))
-		d.end(0, Report{Ending: Refused, Trace: OriginFailed, Elapsed: 30 * ms, Load: Untold})
+		d.end(0, Report{Ending: Refused, Trace: OriginFailed, Elapsed: 30 * ms})
 		d.out = d.out[:0]
 	}
 	if p := d.r.caches[4].strikes + d.r.caches[5].strikes; d.r.fetch.most >= before || p > 0 {
@@ -332,7 +332,7 @@
 		}
 		cache, fetch := d.r.caches[s.Cache].trips.most, d.r.fetch.most
 		d.pass(1200 * ms)
-		d.end(0, Report{Ending: Delivered, Trace: Filled, Elapsed: 1200 * ms, Load: Untold})
+		d.end(0, Report{Ending: Delivered, Trace: Filled, Elapsed: 1200 * ms})
 		if d.r.caches[s.Cache].trips.most < cache != slow || d.r.fetch.most < fetch == slow {
 			t.Errorf("slow %v: cache %.1f, fetches %.1f", slow, d.r.caches[s.Cache].trips.most, d.r.fetch.most)
 		}
@@ -370,7 +370,7 @@
 		d := bench(plainLeave)
 		c := &d.r.caches[1]
 		for range n {
-			d.r.observe(&visit{}, &trip{cache: 1, source: 1}, Report{Ending: Broken, Load: Untold})
+			d.r.observe(&visit{}, &trip{cache: 1, source: 1}, Report{Ending: Broken})
 		}
 		if r := c.restUntil > d.r.now; r != rests || d.r.isCold(c) {
 			t.Errorf("after %d: rests %v", n, r)
@@ -378,21 +378,18 @@
 	}
 }
 
-// still is a desk that takes results and keeps only the last visit and trip.
-type still struct {
-	v VisitID
-	e Errand
-}
+// still is a desk that takes results and keeps only the last visit.
+type still struct{ v VisitID }
 
-func (s *still) Taken(v VisitID)          { s.v = v }
-func (s *still) Send(_ VisitID, e Errand) { s.e = e }
-func (*still) Defer(VisitID, Micros)      {}
-func (*still) Scrap(VisitID)              {}
-func (*still) Withdraw(VisitID, TripNo)   {}
-func (*still) Release(VisitID)            {}
-func (*still) Wake(Micros)                {}
-func (*still) Follow()                    {}
-func (*still) Note(string)                {}
+func (s *still) Taken(v VisitID)        { s.v = v }
+func (*still) Send(VisitID, Errand)     {}
+func (*still) Defer(VisitID, Micros)    {}
+func (*still) Scrap(VisitID)            {}
+func (*still) Withdraw(VisitID, TripNo) {}
+func (*still) Release(VisitID)          {}
+func (*still) Wake(Micros)              {}
+func (*still) Follow()                  {}
+func (*still) Note(string)              {}
 
 // The ordinary path, a visit and its one trip, allocates nothing.
 func TestOrdinaryPathAllocatesNothing(t *testing.T) {
@@ -402,7 +399,7 @@
 	if n := testing.AllocsPerRun(1000, func() {
 		d.r.now += 20 * ms
 		d.r.Arrive(a)
-		d.r.TripEnded(s.v, Report{Ending: Delivered, Trace: Hit, Over: true, Elapsed: 10 * ms, Load: Untold})
+		d.r.TripEnded(s.v, Report{Ending: Delivered, Trace: Hit, Over: true, Elapsed: 10 * ms})
 	}); n != 0 {
 		t.Fatalf("%v allocations a visit", n)
 	}
--- a/decide/helpers_test.go
+++ b/decide/helpers_test.go
@@ -129,7 +129,7 @@
 		d.r.Clock(max(next, d.r.now))
 		switch {
 		case late >= 0:
-			d.end(late, Report{Ending: TooSlow, Load: Untold})
+			d.end(late, Report{Ending: TooSlow})
 		case wake >= 0:
 			d.wakes = append(d.wakes[:wake], d.wakes[wake+1:]...)
 			d.r.Woke()
--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -119,7 +119,6 @@
 				Trip: decide.TripNo(e.GetInt("trial")), Ending: endings[str(e, "reason")],
 				Trace: decide.Trace(e.GetInt("info")), Over: e.GetBool("done_flag"),
 				Elapsed: micros(e.GetFloat64("elapsed")), FirstOut: micros(e.GetFloat64("first_byte")),
-				Load: p.load(e),
 			})
 		}
 	case "ack_first":
--- a/internal/benchwire/post.go
+++ b/internal/benchwire/post.go
@@ -20,7 +20,6 @@
 	zones   map[string]decide.ZoneID
 	cases   map[string]decide.UseCaseID
 	tenants map[string]decide.TenantID
-	columns []string
 	parent  string
 	origin  string
 	pending string // id of the visit that is arriving
@@ -43,9 +42,6 @@
 		return ""
 	}
 	p.parent, p.origin = kind("mid_kind"), kind("root_kind")
-	for _, c := range in.GetArray("report", "columns") {
-		p.columns = append(p.columns, text(c))
-	}
 	var cases []decide.UseCase
 	for i, c := range in.GetArray("lanes") {
 		p.cases[str(c, "name")] = decide.UseCaseID(i)
@@ -170,30 +166,6 @@
 	p.visits[p.pending] = v
 }
 
-func (p *post) load(e *fastjson.Value) decide.Load {
-	l := decide.Untold
-	for i, v := range e.GetArray("telemetry") {
-		if i >= len(p.columns) {
-			break
-		}
-		f, err := v.Float64()
-		if err != nil {
-			continue
-		}
-		switch p.columns[i] {
-		case "busy_reqs":
-			l.InHand = f
-		case "x0":
-			l.Hits = f
-		case "x1":
-			l.Link = f
-		case "cpu_share":
-			l.Busy = f
-		}
-	}
-	return l
-}
-
 func (p *post) begin(op string) {
 	p.link.buf = append(append(append(p.link.buf, `{"op":"`...), op...), '"')
 }
