--- a/internal/benchwire/benchwire.go
+++ b/internal/benchwire/benchwire.go
@@ -73,7 +73,9 @@
 		l.buf = append(l.buf, `,"actions":[`...)
 		body := len(l.buf)
 		for _, e := range g.GetArray("happened") {
-			l.event(id, now, e)
+			if err := l.event(id, now, e); err != nil {
+				return err
+			}
 		}
 		if len(l.buf) == body {
 			l.buf = l.buf[:start]
@@ -90,22 +92,22 @@
 	return l.out.Flush()
 }
 
-func (l *Link) event(id int, now decide.Micros, e *fastjson.Value) {
+func (l *Link) event(id int, now decide.Micros, e *fastjson.Value) (err error) {
 	op := str(e, "op")
 	switch op {
 	case "pool":
 		l.page(e)
-		return
+		return nil
 	case "new_instance":
-		l.posts[id] = newPost(l, e)
-		return
+		l.posts[id], err = newPost(l, e)
+		return err
 	case "retire":
 		delete(l.posts, id)
-		return
+		return nil
 	}
 	p := l.posts[id]
 	if p == nil {
-		return
+		return nil
 	}
 	p.router.Clock(now)
 	switch op {
@@ -139,6 +141,7 @@
 	case "timer":
 		p.router.Woke()
 	}
+	return nil
 }
 
 var endings = map[string]decide.Ending{
--- a/internal/benchwire/post.go
+++ b/internal/benchwire/post.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fastjson"
 
 	"threadrun/decide"
+	"threadrun/internal/deployment"
 	"threadrun/internal/mix"
 )
 
@@ -13,96 +14,19 @@
 type post struct {
 	link    *Link
 	router  *decide.Router
+	names   *deployment.Names
 	visits  map[string]decide.VisitID
 	txns    []string // by the visit's place
 	ids     map[string]decide.CacheID
-	names   []string
-	zones   map[string]decide.ZoneID
-	cases   map[string]decide.UseCaseID
-	tenants map[string]decide.TenantID
-	parent  string
-	origin  string
+	caches  []string
 	pending string // id of the visit that is arriving
 }
 
-func newPost(l *Link, e *fastjson.Value) *post {
-	p := &post{link: l, visits: map[string]decide.VisitID{}, ids: map[string]decide.CacheID{},
-		zones: map[string]decide.ZoneID{}, cases: map[string]decide.UseCaseID{},
-		tenants: map[string]decide.TenantID{}}
-	in := e.Get("info")
-	x, lim, rules := in.Get("extra"), in.Get("limits"), in.Get("rules")
-	for i, z := range in.GetArray("failure_domains") {
-		p.zones[text(z)] = decide.ZoneID(i)
-	}
-	kinds := in.GetArray("kinds")
-	kind := func(key string) string {
-		if n := x.GetInt(key); x.Exists(key) && n >= 0 && n < len(kinds) {
-			return text(kinds[n])
-		}
-		return ""
-	}
-	p.parent, p.origin = kind("mid_kind"), kind("root_kind")
-	var cases []decide.UseCase
-	for i, c := range in.GetArray("lanes") {
-		p.cases[str(c, "name")] = decide.UseCaseID(i)
-		u := decide.UseCase{
-			Window: micros(c.GetFloat64("window")), Expected: micros(c.GetFloat64("aim")),
-			Stretch: c.GetFloat64("aim_stretch"), Importance: c.GetFloat64("value"),
-			LateWorth: c.GetFloat64("late_worth"), Streams: c.GetBool("streaming"),
-			Fresh: micros(at(x, "class_fresh", i).GetFloat64()), Grace: micros(at(x, "usable_after", i).GetFloat64()),
-			OldWorth: at(x, "worth_when_old", i).GetFloat64(), Write: at(x, "class_write", i).GetBool(),
-			Parted: at(x, "segmented", i).GetBool(),
-		}
-		switch str(c, "effect") {
-		case "idempotency_key":
-			u.Effect = decide.Stamped
-		case "non_idempotent":
-			u.Effect = decide.OneShot
-		}
-		switch str(c, "group") {
-		case "zone":
-			u.Reach = decide.OwnZone
-		case "cell":
-			u.Reach = decide.OwnCell
-		}
-		cases = append(cases, u)
-	}
-	var tenants []decide.Tenant
-	beyond := in.GetFloat64("over_share_worth")
-	for i, t := range in.GetArray("tenants") {
-		p.tenants[str(t, "name")] = decide.TenantID(i)
-		tenants = append(tenants, decide.Tenant{PerSecond: t.GetFloat64("quota_rps"), OverWorth: beyond})
-	}
-	zone := p.zones[str(in, "az")]
-	branch := decide.Branch{Zone: zone, Fleet: in.GetInt("fleet_size"),
-		Crew: at(x, "crew_by_zone", int(zone)).GetInt(), PaceKB: x.GetFloat64("pace_kb_per_s")}
-	for _, h := range x.GetArray("home_hub") {
-		branch.Hubs = append(branch.Hubs, decide.ZoneID(h.GetInt()))
-	}
-	for _, k := range x.GetArray("pipe_kb_per_s") {
-		branch.LinksKB = append(branch.LinksKB, k.GetFloat64())
-	}
-	leave := decide.Leave{Trips: lim.GetInt("send_cap"), TwoAtOnce: lim.GetBool("parallel_tries"),
-		Withdraw: lim.GetBool("cancelling"), Direct: x.GetBool("direct"), Join: x.GetBool("can_join"),
-		Ask: str(in, "discovery") == "ask", Told: str(x, "detail") == "all",
-	}
-	if lim.GetBool("retry_after") {
-		leave.LongestComeback = micros(lim.GetFloat64("max_retry_after"))
-	}
-	switch str(x, "siblings") {
-	case "location":
-		leave.Siblings = true
-	case "any":
-		leave.Siblings, leave.AnyZone = true, true
-	}
-	window := micros(rules.GetFloat64("overload_for"))
-	edge := decide.ColdStart{Least: rules.GetFloat64("cold_from"), Multiple: rules.GetFloat64("fall_multiple"),
-		Ramp: micros(rules.GetFloat64("cold")), Window: window}
-	parent := decide.ColdStart{Least: x.GetFloat64("parent_starts_at"), Multiple: x.GetFloat64("parent_breaks_at"),
-		Ramp: micros(x.GetFloat64("parent_ramp")), Window: window}
-	purges := decide.Purges{Grace: micros(x.GetFloat64("obey_after")), Takes: micros(x.GetFloat64("purge_takes"))}
-	p.router = decide.New(uint32(e.GetUint64("salt")), p, cases, tenants, branch, leave, edge, parent, purges)
-	return p
+func newPost(l *Link, e *fastjson.Value) (*post, error) {
+	p := &post{link: l, visits: map[string]decide.VisitID{}, ids: map[string]decide.CacheID{}}
+	var err error
+	p.router, p.names, err = deployment.Site(e.Get("info"), uint32(e.GetUint64("salt")), p)
+	return p, err
 }
 
 func (p *post) list(e *fastjson.Value) {
@@ -119,21 +43,12 @@
 	for _, x := range page {
 		id, ok := p.ids[x.name]
 		if !ok {
-			id = decide.CacheID(len(p.names))
+			id = decide.CacheID(len(p.caches))
 			p.ids[x.name] = id
-			p.names = append(p.names, x.name)
+			p.caches = append(p.caches, x.name)
 		}
 		c := x.Listed
-		c.ID, c.Zone = id, -1
-		if z, ok := p.zones[x.zone]; ok {
-			c.Zone = z
-		}
-		switch {
-		case x.kind == p.parent && p.parent != "":
-			c.Tier = decide.Parent
-		case x.kind == p.origin && p.origin != "":
-			c.Tier = decide.Origin
-		}
+		c.ID, c.Zone, c.Tier = id, p.names.Zone(x.zone), p.names.Tier(x.kind)
 		list = append(list, c)
 	}
 	p.router.List(list, how != "incr")
@@ -141,18 +56,14 @@
 
 func (p *post) accept(e *fastjson.Value) {
 	p.pending = str(e, "txn")
-	use, ok := p.cases[str(e, "service")]
+	use, ok := p.names.UseCase(e.GetStringBytes("service"))
 	if !ok {
 		return
 	}
-	tenant, ok := p.tenants[str(e, "owner")]
-	if !ok {
-		tenant = -1
-	}
 	flags := e.GetInt("flags")
 	p.router.Arrive(decide.Asked{
 		UseCase: use, Object: decide.ObjectID(mix.Name(str(e, "item"))), Part: e.GetInt("range_no"),
-		Group: decide.GroupID(e.GetInt("tag")), Tenant: tenant, Repeat: flags&2 != 0, Write: flags&4 != 0,
+		Group: decide.GroupID(e.GetInt("tag")), Tenant: p.names.Tenant(e.GetStringBytes("owner")), Repeat: flags&2 != 0, Write: flags&4 != 0,
 		Left: micros(e.GetFloat64("expires_in")), KB: e.GetFloat64("size_kb"),
 	})
 }
@@ -189,9 +100,9 @@
 func (p *post) Send(v decide.VisitID, t decide.Errand) {
 	p.begin("get")
 	p.word("txn", p.txns[v.Place()])
-	p.word("server", p.names[t.Cache])
+	p.word("server", p.caches[t.Cache])
 	if t.Source != decide.NoCache {
-		p.word("miss_from", p.names[t.Source])
+		p.word("miss_from", p.caches[t.Source])
 	}
 	p.time("until", t.Until)
 	p.number("rank", t.Rank)
@@ -264,15 +175,3 @@
 	p.word("message", line)
 	p.end()
 }
-
-func text(v *fastjson.Value) string { b, _ := v.StringBytes(); return string(b) }
-
-// at finds element i of an array, or null.
-func at(v *fastjson.Value, key string, i int) *fastjson.Value {
-	if a := v.GetArray(key); i >= 0 && i < len(a) {
-		return a[i]
-	}
-	return null
-}
-
-var null = fastjson.MustParse("null")
--- /dev/null
+++ b/internal/deployment/file.go
@@ -0,0 +1,114 @@
+package deployment
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fastjson"
+)
+
+// File is a router's configuration, read and checked. Each part of the router is given its own few values of it.
+type File struct {
+	path   string
+	v      *fastjson.Value
+	Name   string
+	Listen string // where clients connect
+	Board  string // the bulletin's address
+	Seed   uint32
+	Known  *fastjson.Value // the bulletin's events so far
+	Site   *fastjson.Value // the settings object
+}
+
+// Open reads a configuration. What the environment says of name and address goes before the file.
+func Open(path string, env func(string) string) (*File, error) {
+	if path == "" {
+		return nil, fmt.Errorf("configuration: RELAY_CONFIG names no file")
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	v, err := fastjson.ParseBytes(b)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	f := &File{path: path, v: v}
+	k := &keys{}
+	if v.Type() != fastjson.TypeObject {
+		return nil, f.wrap(fmt.Errorf("no object"))
+	}
+	f.Name, f.Listen, f.Board = k.word(v, "name"), k.word(v, "listen"), k.word(v, "bulletin")
+	if s := env("RELAY_NAME"); s != "" {
+		f.Name = s
+	}
+	if s := env("RELAY_LISTEN"); s != "" {
+		f.Listen = s
+	}
+	address(k, "listen", f.Listen)
+	address(k, "bulletin", f.Board)
+	if seed, err := strconv.ParseUint(k.word(v, "seed"), 16, 64); err == nil {
+		f.Seed = uint32(seed ^ seed>>32)
+	} else {
+		k.fault("seed", "is no number in hex digits")
+	}
+	for _, key := range [...]string{"known", "settings"} {
+		if m := v.Get(key); m == nil || m.Type() != fastjson.TypeObject {
+			k.fault(key, "is missing or no object")
+		}
+	}
+	f.Known, f.Site = v.Get("known"), v.Get("settings")
+	return f, f.wrap(k.err)
+}
+
+func (f *File) wrap(err error) error {
+	if err != nil {
+		return fmt.Errorf("configuration %s: %w", f.path, err)
+	}
+	return nil
+}
+
+// Fault puts the file's name before an error in it.
+func (f *File) Fault(err error) error { return f.wrap(err) }
+
+func address(k *keys, key, s string) {
+	if _, port, err := net.SplitHostPort(s); err != nil || port == "" {
+		k.fault(key, fmt.Sprintf("is %q, no address with a port", s))
+	}
+}
+
+// Limits gives what the platform holds the router to.
+func (f *File) Limits() (cores float64, memoryMB, descriptors int, err error) {
+	k := &keys{}
+	cores = k.number(f.v, "limits.cores", 1, 0.01)
+	memoryMB = int(k.number(f.v, "limits.memory_mb", 192, 16))
+	descriptors = int(k.number(f.v, "limits.sockets", 1024, 64))
+	return cores, memoryMB, descriptors, f.wrap(k.err)
+}
+
+// Pools gives the bounds on connections. The optional object 'pools' overrides the defaults, which come from the
+// limit on descriptors.
+func (f *File) Pools() (clients, caches, each, backlog int, err error) {
+	_, _, descriptors, err := f.Limits()
+	if err != nil {
+		return 0, 0, 0, 0, err
+	}
+	k := &keys{}
+	clients = int(k.number(f.v, "pools.clients", float64(descriptors*2/5), 1))
+	caches = int(k.number(f.v, "pools.caches", float64(descriptors*2/5), 1))
+	each = int(k.number(f.v, "pools.each_cache", 48, 1))
+	backlog = int(k.number(f.v, "pools.unread_bytes", 8<<20, 1<<18))
+	return clients, caches, each, backlog, f.wrap(k.err)
+}
+
+// Polls gives the bulletin's waits: how long one poll may be held, and how much longer it may take.
+func (f *File) Polls() (wait, slack time.Duration, err error) {
+	k := &keys{}
+	ms := func(path string, otherwise float64) time.Duration {
+		return time.Duration(k.number(f.v, path, otherwise, 50)) * time.Millisecond
+	}
+	wait, slack = ms("polls.wait_ms", 1500), ms("polls.slack_ms", 500)
+	return wait, slack, f.wrap(k.err)
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,38 @@
+// Package front holds what clients' protocols have in common, and the platform's own: MessagePack-RPC over TCP.
+// Another front speaks another protocol to its clients and hands its visits over in the same way.
+package front
+
+import "threadrun/decide"
+
+// Mark is a visit's own id, 16 hex digits, given by the client.
+type Mark = [16]byte
+
+// Ask is one visit as a client asks for it. Its bytes are good within the call only.
+type Ask struct {
+	Case     decide.UseCaseID
+	Mark     Mark
+	Object   Mark
+	Part     int
+	Group    decide.GroupID
+	Repeat   bool
+	Patience decide.Micros
+	KB       float64
+	Have     []byte // tag of a copy that the client holds
+	Body     []byte
+}
+
+// Client takes the one answer to each of its visits, under the number it gave the visit.
+type Client interface {
+	Deliver(no uint64, tag, body []byte, unchanged bool)
+	Defer(no uint64)
+	Scrap(no uint64)
+	Assigned(no uint64, v decide.VisitID) // the router's name for the visit
+}
+
+// Visits is what a front hands its visits to.
+type Visits interface {
+	Ready() bool // false before the start and at the end
+	UseCase(name []byte) (decide.UseCaseID, bool)
+	Arrive(from Client, no uint64, ask *Ask)
+	Left(v decide.VisitID)
+}
--- /dev/null
+++ b/internal/front/rpc.go
@@ -0,0 +1,431 @@
+package front
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+
+	"github.com/sirupsen/logrus"
+
+	"threadrun/decide"
+	"threadrun/internal/msgpack"
+	"threadrun/internal/sockets"
+)
+
+// RPC is the platform's own front.
+type RPC struct {
+	engine  *sockets.Engine
+	log     *logrus.Logger
+	visits  Visits
+	owed    int // visits without an answer
+	backlog int // bytes that clients may leave unread, on one connection
+	conns   map[*caller]struct{}
+	head    []byte
+	tail    []byte
+}
+
+// NewRPC makes the front. A client that leaves more unread than backlog is cut off.
+func NewRPC(e *sockets.Engine, log *logrus.Logger, v Visits, backlog int) *RPC {
+	return &RPC{engine: e, log: log, visits: v, backlog: backlog, conns: map[*caller]struct{}{}}
+}
+
+// Accept makes the object behind a client's connection.
+func (f *RPC) Accept(c *sockets.Conn) sockets.Owner {
+	o := &caller{front: f, conn: c}
+	f.conns[o] = struct{}{}
+	return o
+}
+
+// Quiet tells that every visit has its answer and every answer is with the kernel.
+func (f *RPC) Quiet() bool {
+	if f.owed > 0 {
+		return false
+	}
+	for c := range f.conns {
+		if c.conn.Queued() != c.conn.Sent() {
+			return false
+		}
+	}
+	return true
+}
+
+// caller is one client's connection.
+type caller struct {
+	front *RPC
+	conn  *sockets.Conn
+	in    []byte
+	open  []asked
+}
+
+type asked struct {
+	id    uint64
+	visit decide.VisitID
+}
+
+const (
+	messageMost = 128 << 10
+	bodyMost    = 48_000
+	openMost    = 64 // twice what clients keep to
+	tagMost     = 64
+)
+
+var (
+	errNotRPC   = errors.New("not a message of this protocol")
+	errSameID   = errors.New("an id that is open already")
+	errTooMany  = errors.New("too many open requests")
+	errUnread   = errors.New("answers left unread")
+	errField    = errors.New("unusable field")
+	errDoubled  = errors.New("doubled field")
+	errMissing  = errors.New("missing field")
+	errBody     = errors.New("unusable body")
+	errUseCase  = errors.New("unknown method")
+	errTooLarge = errors.New("too large a body")
+)
+
+// Data takes requests, whole ones in place.
+func (c *caller) Data(b []byte) error {
+	held := len(c.in) > 0
+	if held {
+		c.in = c.front.engine.Gather(c.in, b)
+		b = c.in
+	}
+	for len(b) > 0 {
+		n, err := msgpack.Size(b, messageMost)
+		if errors.Is(err, msgpack.ErrShort) && len(b) < messageMost {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		if err := c.message(b[:n]); err != nil {
+			return err
+		}
+		b = b[n:]
+	}
+	switch {
+	case len(b) == 0:
+		c.front.engine.Done(c.in)
+		c.in = nil
+	case held:
+		c.in = c.in[:copy(c.in, b)]
+	default:
+		c.in = c.front.engine.Gather(nil, b)
+	}
+	if c.conn.Queued()-c.conn.Sent() > int64(c.front.backlog) { // wards off filling memory for a client that does not read
+		return errUnread
+	}
+	return nil
+}
+
+func (c *caller) message(b []byte) error {
+	r := msgpack.Read(b)
+	n := r.Array()
+	kind := r.Uint()
+	switch {
+	case r.Err() != nil:
+		return errNotRPC
+	case kind == 2 && n == 3:
+		if string(r.Bytes()) == "giveUp" && r.Array() >= 1 {
+			if id := r.Uint(); r.Err() == nil {
+				c.gaveUp(id)
+			}
+		}
+		return nil // other notifications are nobody's
+	case kind != 0 || n != 4:
+		return errNotRPC
+	}
+	id := r.Uint()
+	if r.Err() != nil {
+		return errNotRPC
+	}
+	for i := range c.open { // wards off two answers that the client can't tell apart
+		if c.open[i].id == id {
+			return errSameID
+		}
+	}
+	method := r.Bytes()
+	if r.Err() != nil {
+		c.refuse(id, errUseCase)
+		return nil
+	}
+	if string(method) == "probe" {
+		c.probed(id)
+		return nil
+	}
+	var ask Ask
+	err := c.read(&r, method, &ask)
+	if err == nil && len(c.open) >= openMost {
+		err = errTooMany
+	}
+	if err != nil {
+		c.refuse(id, err)
+		return nil
+	}
+	c.open = append(c.open, asked{id: id})
+	c.front.owed++
+	c.front.visits.Arrive(c, id, &ask)
+	return nil
+}
+
+// read checks all that a client says before any of it is passed on.
+func (c *caller) read(r *msgpack.Reader, method []byte, a *Ask) error {
+	use, ok := c.front.visits.UseCase(method)
+	if !ok {
+		return errUseCase
+	}
+	a.Case = use
+	args := r.Array()
+	if r.Err() != nil || args < 1 {
+		return errMissing
+	}
+	seen, bit := 0, 0
+	for pairs := r.Map(); pairs > 0; pairs-- {
+		key := r.Bytes()
+		if r.Err() != nil {
+			return errField
+		}
+		if k := r.Peek(); k != msgpack.Str && k != msgpack.Bin {
+			r.Skip()
+			if known(key) {
+				return errField
+			}
+			continue
+		}
+		value := r.Bytes()
+		ok := true
+		switch string(key) {
+		case "trace":
+			bit, ok = 1, copyMark(&a.Mark, value)
+		case "entity":
+			bit, ok = 2, copyMark(&a.Object, value)
+		case "piece":
+			var n uint64
+			n, ok = digits(value, 1<<30)
+			bit, a.Part = 4, int(n)
+		case "lot":
+			var n uint64
+			n, ok = digits(value, 255)
+			bit, a.Group = 8, decide.GroupID(n)
+		case "patience":
+			bit = 16
+			a.Patience, ok = span(value)
+		case "size":
+			bit = 32
+			a.KB, ok = decimal(value)
+		case "ver":
+			bit, ok = 64, word(value)
+			a.Have = value
+		case "redo":
+			bit, a.Repeat = 128, len(value) > 0 && string(value) != "0"
+		default:
+			continue
+		}
+		if !ok {
+			return errField
+		}
+		if seen&bit != 0 {
+			return errDoubled
+		}
+		seen |= bit
+	}
+	if r.Err() != nil {
+		return errField
+	}
+	if seen&23 != 23 {
+		return errMissing
+	}
+	if args > 1 {
+		if r.Peek() == msgpack.Nil {
+			return nil
+		}
+		if a.Body = r.Bytes(); r.Err() != nil {
+			return errBody
+		}
+		if len(a.Body) > bodyMost {
+			return errTooLarge
+		}
+	}
+	return nil
+}
+
+func known(key []byte) bool {
+	switch string(key) {
+	case "trace", "entity", "piece", "lot", "patience", "size", "ver":
+		return true
+	}
+	return false
+}
+
+// gaveUp ends what is owed for one request.
+func (c *caller) gaveUp(id uint64) {
+	for i := range c.open {
+		if c.open[i].id == id {
+			v := c.open[i].visit
+			c.drop(i)
+			c.front.visits.Left(v)
+			return
+		}
+	}
+}
+
+// Closed ends what is owed on a connection that is gone.
+func (c *caller) Closed(err error) {
+	delete(c.front.conns, c)
+	c.front.engine.Done(c.in)
+	c.in = nil
+	if errors.Is(err, errUnread) || errors.Is(err, errNotRPC) || errors.Is(err, errSameID) ||
+		errors.Is(err, msgpack.ErrBroken) || errors.Is(err, msgpack.ErrBound) {
+		c.front.log.WithError(err).WithField("client", c.conn).Warn("front: connection closed")
+	}
+	open := c.open
+	c.open = nil
+	c.front.owed -= len(open)
+	for _, o := range open {
+		c.front.visits.Left(o.visit)
+	}
+}
+
+// Assigned ties the router's name for a visit to the client's id.
+func (c *caller) Assigned(id uint64, v decide.VisitID) {
+	for i := range c.open {
+		if c.open[i].id == id {
+			c.open[i].visit = v
+		}
+	}
+}
+
+func (c *caller) drop(i int) {
+	c.open[i] = c.open[len(c.open)-1]
+	c.open = c.open[:len(c.open)-1]
+	c.front.owed--
+}
+
+// answers tells whether a request is still owed its answer, and takes it off the list.
+func (c *caller) answers(id uint64) bool {
+	for i := range c.open {
+		if c.open[i].id == id {
+			c.drop(i)
+			return true
+		}
+	}
+	return false
+}
+
+// Deliver passes a whole answer on.
+func (c *caller) Deliver(id uint64, tag, body []byte, unchanged bool) {
+	if !c.answers(id) {
+		return
+	}
+	f := c.front
+	h := msgpack.AppendNil(msgpack.AppendUint(msgpack.AppendUint(msgpack.AppendArray(f.head[:0], 4), 1), id))
+	f.head = msgpack.AppendBinHead(msgpack.AppendArray(h, 2), len(body))
+	pairs := 0
+	if len(tag) > 0 {
+		pairs++
+	}
+	if unchanged {
+		pairs++
+	}
+	f.tail = msgpack.AppendMap(f.tail[:0], pairs)
+	if len(tag) > 0 {
+		f.tail = msgpack.AppendStr(msgpack.AppendStr(f.tail, "ver"), tag)
+	}
+	if unchanged {
+		f.tail = msgpack.AppendStr(msgpack.AppendStr(f.tail, "unchanged"), "1")
+	}
+	c.conn.Send(f.head, body, f.tail)
+}
+
+// Defer tells the client that trying again is harmless.
+func (c *caller) Defer(id uint64) {
+	if c.answers(id) {
+		c.fault(id, "Shed", "")
+	}
+}
+
+// Scrap tells the client that the visit failed, and promises nothing.
+func (c *caller) Scrap(id uint64) {
+	if c.answers(id) {
+		c.fault(id, "Fault", "")
+	}
+}
+
+// refuse answers what never became a visit.
+func (c *caller) refuse(id uint64, why error) { c.fault(id, "Fault", why.Error()) }
+
+func (c *caller) fault(id uint64, word, why string) {
+	f := c.front
+	h := msgpack.AppendUint(msgpack.AppendUint(msgpack.AppendArray(f.head[:0], 4), 1), id)
+	h = msgpack.AppendStr(msgpack.AppendArray(h, 2), word)
+	if why == "" {
+		h = msgpack.AppendMap(h, 0)
+	} else {
+		h = msgpack.AppendStr(msgpack.AppendStr(msgpack.AppendMap(h, 1), "why"), why)
+	}
+	f.head = msgpack.AppendNil(h)
+	c.conn.Send(f.head)
+}
+
+func (c *caller) probed(id uint64) {
+	f := c.front
+	h := msgpack.AppendNil(msgpack.AppendUint(msgpack.AppendUint(msgpack.AppendArray(f.head[:0], 4), 1), id))
+	h = msgpack.AppendBool(msgpack.AppendArray(h, 2), f.visits.Ready())
+	f.head = msgpack.AppendMap(h, 0)
+	c.conn.Send(f.head)
+}
+
+func copyMark(m *Mark, b []byte) bool {
+	if len(b) != len(m) {
+		return false
+	}
+	for i, c := range b {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+		m[i] = c
+	}
+	return true
+}
+
+func digits(b []byte, most uint64) (uint64, bool) {
+	if len(b) == 0 || len(b) > 12 {
+		return 0, false
+	}
+	var n uint64
+	for _, c := range b {
+		if c < '0' || c > '9' {
+			return 0, false
+		}
+		n = n*10 + uint64(c-'0')
+	}
+	return n, n <= most
+}
+
+// decimal reads a plain number, not below 0.
+func decimal(b []byte) (float64, bool) {
+	if len(b) == 0 || len(b) > 24 || bytes.ContainsAny(b, "xXpP_iInN") {
+		return 0, false
+	}
+	x, err := strconv.ParseFloat(string(b), 64)
+	return x, err == nil && x >= 0 && x < 1e9
+}
+
+// span reads milliseconds; what is below 0 is no time at all.
+func span(b []byte) (decide.Micros, bool) {
+	if len(b) > 1 && b[0] == '-' {
+		_, ok := decimal(b[1:])
+		return 0, ok
+	}
+	ms, ok := decimal(b)
+	return decide.Micros(ms * 1000), ok
+}
+
+// word checks a tag that is to stand in a list of fields.
+func word(b []byte) bool {
+	for _, c := range b {
+		if c <= ' ' || c == ',' || c >= 0x7f {
+			return false
+		}
+	}
+	return len(b) <= tagMost
+}
--- /dev/null
+++ b/internal/msgpack/msgpack.go
@@ -0,0 +1,306 @@
+// Package msgpack reads and writes MessagePack in place. It holds no state: a message that has not come whole is
+// measured again when more has come.
+package msgpack
+
+import (
+	"encoding/binary"
+	"errors"
+)
+
+var (
+	// ErrShort says that the value has not come whole.
+	ErrShort = errors.New("msgpack: incomplete")
+	// ErrBroken says that no more bytes can make this a value.
+	ErrBroken = errors.New("msgpack: broken framing")
+	// ErrBound says that a value nests or counts beyond what is taken.
+	ErrBound = errors.New("msgpack: beyond bounds")
+	// ErrKind says that a value is not of the kind asked for.
+	ErrKind = errors.New("msgpack: other kind of value")
+)
+
+const (
+	nestMost  = 16
+	countMost = 1024 // elements of one array or map
+)
+
+// Kind tells values apart as far as the protocol needs.
+type Kind uint8
+
+const (
+	Nil Kind = iota
+	Bool
+	Int
+	Float
+	Str
+	Bin
+	Array
+	Map
+	Ext
+)
+
+// head reads a value's first bytes: its kind, how long the head is, and the count or the number that it holds.
+func head(b []byte) (k Kind, n int, arg uint64, neg bool, err error) {
+	if len(b) == 0 {
+		return 0, 0, 0, false, ErrShort
+	}
+	wide := func(k Kind, w int) (Kind, int, uint64, bool, error) {
+		if len(b) < 1+w {
+			return 0, 0, 0, false, ErrShort
+		}
+		switch w {
+		case 1:
+			return k, 2, uint64(b[1]), false, nil
+		case 2:
+			return k, 3, uint64(binary.BigEndian.Uint16(b[1:])), false, nil
+		case 4:
+			return k, 5, uint64(binary.BigEndian.Uint32(b[1:])), false, nil
+		}
+		return k, 9, binary.BigEndian.Uint64(b[1:]), false, nil
+	}
+	c := b[0]
+	switch {
+	case c < 0x80:
+		return Int, 1, uint64(c), false, nil
+	case c < 0x90:
+		return Map, 1, uint64(c & 15), false, nil
+	case c < 0xa0:
+		return Array, 1, uint64(c & 15), false, nil
+	case c < 0xc0:
+		return Str, 1, uint64(c & 31), false, nil
+	case c >= 0xe0:
+		return Int, 1, uint64(int64(int8(c))), true, nil
+	}
+	switch c {
+	case 0xc0:
+		return Nil, 1, 0, false, nil
+	case 0xc2, 0xc3:
+		return Bool, 1, uint64(c & 1), false, nil
+	case 0xc4, 0xc5, 0xc6:
+		return wide(Bin, 1<<(c-0xc4))
+	case 0xc7, 0xc8, 0xc9:
+		k, n, arg, _, err = wide(Ext, 1<<(c-0xc7))
+		return k, n, arg + 1, false, err
+	case 0xca, 0xcb:
+		return wide(Float, 4<<(c-0xca))
+	case 0xcc, 0xcd, 0xce, 0xcf:
+		return wide(Int, 1<<(c-0xcc))
+	case 0xd0, 0xd1, 0xd2, 0xd3:
+		w := 1 << (c - 0xd0)
+		k, n, arg, _, err = wide(Int, w)
+		shift := 64 - 8*w
+		signed := int64(arg<<shift) >> shift
+		return k, n, uint64(signed), signed < 0, err
+	case 0xd4, 0xd5, 0xd6, 0xd7, 0xd8:
+		return Ext, 1, 1 + 1<<(c-0xd4), false, nil
+	case 0xd9, 0xda, 0xdb:
+		return wide(Str, 1<<(c-0xd9))
+	case 0xdc, 0xdd:
+		return wide(Array, 2<<(c-0xdc))
+	case 0xde, 0xdf:
+		return wide(Map, 2<<(c-0xde))
+	}
+	return 0, 0, 0, false, ErrBroken
+}
+
+// Size measures the value that b begins with. It is ErrShort while bytes are missing, and another error once the
+// value can't become one of at most so many bytes.
+func Size(b []byte, most int) (int, error) {
+	n, err := size(b, most, 0)
+	if err == nil && n > most {
+		return 0, ErrBound
+	}
+	return n, err
+}
+
+func size(b []byte, most, depth int) (int, error) {
+	if depth > nestMost {
+		return 0, ErrBound
+	}
+	k, at, arg, _, err := head(b)
+	if err != nil {
+		return 0, err
+	}
+	switch k {
+	case Str, Bin, Ext:
+		if arg > uint64(most) {
+			return 0, ErrBound
+		}
+		at += int(arg)
+	case Array, Map:
+		if arg > countMost {
+			return 0, ErrBound
+		}
+		if k == Map {
+			arg *= 2
+		}
+		for ; arg > 0; arg-- {
+			if at > most {
+				return 0, ErrBound
+			}
+			n, err := size(b[at:], most-at, depth+1)
+			if err != nil {
+				return 0, err
+			}
+			at += n
+		}
+	}
+	if at > most {
+		return 0, ErrBound
+	}
+	if at > len(b) {
+		return 0, ErrShort
+	}
+	return at, nil
+}
+
+// Reader walks over values that have come whole. The first error stays.
+type Reader struct {
+	b   []byte
+	err error
+}
+
+// Read begins at the start of b.
+func Read(b []byte) Reader { return Reader{b: b} }
+
+// Err is the first error met.
+func (r *Reader) Err() error { return r.err }
+
+// Peek tells the kind of the next value.
+func (r *Reader) Peek() Kind {
+	k, _, _, _, err := head(r.b)
+	if err != nil && r.err == nil {
+		r.err = err
+	}
+	return k
+}
+
+func (r *Reader) take(want Kind) (uint64, bool) {
+	if r.err != nil {
+		return 0, false
+	}
+	k, n, arg, neg, err := head(r.b)
+	if err == nil && k != want {
+		err = ErrKind
+	}
+	if err != nil {
+		r.err = err
+		return 0, false
+	}
+	r.b = r.b[n:]
+	return arg, neg
+}
+
+// Array begins an array and gives its length.
+func (r *Reader) Array() int { n, _ := r.take(Array); return int(n) }
+
+// Map begins a map and gives the number of its pairs.
+func (r *Reader) Map() int { n, _ := r.take(Map); return int(n) }
+
+// Uint reads a whole number from 0 up.
+func (r *Reader) Uint() uint64 {
+	n, neg := r.take(Int)
+	if neg && r.err == nil {
+		r.err = ErrKind
+		return 0
+	}
+	return n
+}
+
+// Bytes reads a string or bytes, in place.
+func (r *Reader) Bytes() []byte {
+	k := r.Peek()
+	if k != Str {
+		k = Bin
+	}
+	n, _ := r.take(k)
+	if r.err == nil && n > uint64(len(r.b)) {
+		r.err = ErrShort
+	}
+	if r.err != nil {
+		return nil
+	}
+	out := r.b[:n:n]
+	r.b = r.b[n:]
+	return out
+}
+
+// Skip passes over one value.
+func (r *Reader) Skip() {
+	if r.err != nil {
+		return
+	}
+	n, err := size(r.b, len(r.b), 0)
+	if err != nil {
+		r.err = err
+		return
+	}
+	r.b = r.b[n:]
+}
+
+// AppendArray begins an array.
+func AppendArray(b []byte, n int) []byte {
+	if n < 16 {
+		return append(b, 0x90|byte(n))
+	}
+	return binary.BigEndian.AppendUint16(append(b, 0xdc), uint16(n))
+}
+
+// AppendMap begins a map.
+func AppendMap(b []byte, n int) []byte {
+	if n < 16 {
+		return append(b, 0x80|byte(n))
+	}
+	return binary.BigEndian.AppendUint16(append(b, 0xde), uint16(n))
+}
+
+// AppendNil writes nil.
+func AppendNil(b []byte) []byte { return append(b, 0xc0) }
+
+// AppendBool writes a truth.
+func AppendBool(b []byte, v bool) []byte {
+	if v {
+		return append(b, 0xc3)
+	}
+	return append(b, 0xc2)
+}
+
+// AppendUint writes a whole number in its shortest form.
+func AppendUint(b []byte, n uint64) []byte {
+	switch {
+	case n < 0x80:
+		return append(b, byte(n))
+	case n <= 0xff:
+		return append(b, 0xcc, byte(n))
+	case n <= 0xffff:
+		return binary.BigEndian.AppendUint16(append(b, 0xcd), uint16(n))
+	case n <= 0xffffffff:
+		return binary.BigEndian.AppendUint32(append(b, 0xce), uint32(n))
+	}
+	return binary.BigEndian.AppendUint64(append(b, 0xcf), n)
+}
+
+// AppendStr writes a string.
+func AppendStr[T string | []byte](b []byte, s T) []byte {
+	switch n := len(s); {
+	case n < 32:
+		b = append(b, 0xa0|byte(n))
+	case n <= 0xff:
+		b = append(b, 0xd9, byte(n))
+	case n <= 0xffff:
+		b = binary.BigEndian.AppendUint16(append(b, 0xda), uint16(n))
+	default:
+		b = binary.BigEndian.AppendUint32(append(b, 0xdb), uint32(n))
+	}
+	return append(b, s...)
+}
+
+// AppendBinHead begins bytes of the given length, which are to follow.
+func AppendBinHead(b []byte, n int) []byte {
+	switch {
+	case n <= 0xff:
+		return append(b, 0xc4, byte(n))
+	case n <= 0xffff:
+		return binary.BigEndian.AppendUint16(append(b, 0xc5), uint16(n))
+	}
+	return binary.BigEndian.AppendUint32(append(b, 0xc6), uint32(n))
+}
--- /dev/null
+++ b/internal/service/endings.go
@@ -0,0 +1,46 @@
+package service
+
+import (
+	"threadrun/decide"
+	"threadrun/internal/trips"
+)
+
+// ending words the end of a trip for the module. Only what proves that no whole request arrived may say so: a
+// one-shot visit is sent again on its word.
+func ending(e *trips.End) decide.Ending {
+	switch e.Word {
+	case trips.Data, trips.Unchanged:
+		return decide.Delivered
+	case trips.Absent:
+		return decide.Lacking
+	case trips.Full:
+		return decide.Refused
+	case trips.Moot:
+		return decide.NeverSent
+	case trips.Failed, trips.Unknown:
+		return decide.Failed
+	}
+	switch e.Fault.Reach {
+	case trips.Unconnected:
+		return decide.NoRoute
+	case trips.Unsent, trips.PartSent:
+		return decide.NeverSent
+	}
+	return decide.Broken // bytes that the kernel took may have arrived
+}
+
+// silence words the end of a trip that ran out of time.
+func silence(r trips.Reach) decide.Ending {
+	if r < trips.Sent {
+		return decide.NeverSent
+	}
+	return decide.TooSlow
+}
+
+// trace reads the note of an answer.
+func trace(note []byte) decide.Trace { return traces[string(note)] }
+
+var traces = map[string]decide.Trace{"hit": decide.Hit, "filled": decide.Filled, "via_origin": decide.FilledByOrigin,
+	"joined": decide.Joined, "stale": decide.PastFresh, "src_refused": decide.SourceRefused,
+	"src_broke": decide.SourceLost, "src_lacks": decide.SourceLacks, "no_slot": decide.NoPlace,
+	"origin_failed": decide.OriginFailed}
--- /dev/null
+++ b/internal/service/service.go
@@ -0,0 +1,382 @@
+// Package service runs the decision module on sockets: it keeps the bytes of visits, carries out the module's
+// errands, holds trips to their time limits and tells the module how they ended. It decides nothing.
+package service
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"threadrun/decide"
+	"threadrun/internal/bulletin"
+	"threadrun/internal/deployment"
+	"threadrun/internal/front"
+	"threadrun/internal/mix"
+	"threadrun/internal/sockets"
+	"threadrun/internal/trips"
+)
+
+// Service is one router. All its methods but Run and Leave are called under the engine's lock.
+type Service struct {
+	engine *sockets.Engine
+	log    *logrus.Logger
+	router *decide.Router
+	names  *deployment.Names
+	yard   *trips.Yard
+	poll   *bulletin.Poll
+
+	now     decide.Micros
+	charges []charge // by the visit's place
+	arrived *charge  // the visit that is arriving
+	parked  charge
+	ends    []ended // told to the module at the end of the callback, never from within its own calls
+	spare   []ended
+	alarms  alarms
+	rung    chan struct{} // wakes the timer for an earlier alarm
+	armed   decide.Micros // what the timer waits for
+	caches  map[string]decide.CacheID
+	listed  []cache // by CacheID
+	list    []decide.Listed
+	ready   bool
+	leaving bool
+	head    []byte
+	fields  []byte
+}
+
+// cache is what sockets need of one.
+type cache struct {
+	name    string
+	started int64
+	removed bool
+}
+
+// charge is what is held of one visit.
+type charge struct {
+	visit  decide.VisitID
+	client front.Client
+	no     uint64
+	useful front.Ask // Body and Have point into bytes
+	bytes  []byte
+	object string
+	out    []out
+}
+
+// out is a trip under way.
+type out struct {
+	trip  decide.TripNo
+	cache decide.CacheID
+	sent  decide.Micros
+	over  bool
+}
+
+// ended is a trip's end on its way to the module.
+type ended struct {
+	visit decide.VisitID
+	rep   decide.Report
+}
+
+const beatEvery = 20 * time.Millisecond
+
+// New makes a service that is not yet running; Module and Poll are to follow.
+func New(e *sockets.Engine, log *logrus.Logger) *Service {
+	s := &Service{engine: e, log: log, rung: make(chan struct{}, 1), caches: map[string]decide.CacheID{}}
+	e.After = s.settle
+	return s
+}
+
+// Attach gives the service its parts.
+func (s *Service) Attach(r *decide.Router, n *deployment.Names, y *trips.Yard, p *bulletin.Poll) {
+	s.router, s.names, s.yard, s.poll = r, n, y, p
+	s.enter()
+}
+
+// enter begins every call of the module: the clock first, and never backwards.
+func (s *Service) enter() {
+	s.now = max(s.now, decide.Micros(time.Now().UnixMicro()))
+	s.router.Clock(s.now)
+}
+
+// Run is the one timer: for the module's wakes, the trips' limits and the upkeep of connections.
+func (s *Service) Run(done <-chan struct{}) {
+	timer := time.NewTimer(0)
+	beat := time.Now()
+	for {
+		select {
+		case <-done:
+			return
+		case <-s.rung:
+		case <-timer.C:
+		}
+		var next decide.Micros
+		s.engine.Do(func() {
+			s.ring()
+			if now := time.Now(); now.Sub(beat) >= beatEvery {
+				beat = now
+				s.engine.Beat(now)
+				s.yard.Beat(now)
+				s.poll.Beat(now)
+			}
+		})
+		s.engine.Do(func() {
+			next = decide.Micros(beat.Add(beatEvery).UnixMicro())
+			if len(s.alarms) > 0 {
+				next = min(next, s.alarms[0].at)
+			}
+			s.armed = next
+		})
+		timer.Reset(time.Until(time.UnixMicro(int64(next))))
+	}
+}
+
+// ring does what is due.
+func (s *Service) ring() {
+	s.enter()
+	woke := false
+	for len(s.alarms) > 0 && s.alarms[0].at <= s.now {
+		a := s.alarms.pop()
+		if a.wake {
+			woke = true
+			continue
+		}
+		s.late(a.trip)
+	}
+	if woke {
+		s.router.Woke()
+	}
+}
+
+func (s *Service) alarm(a alarm) {
+	s.alarms.push(a)
+	if a.at < s.armed {
+		s.armed = a.at
+		select {
+		case s.rung <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// settle tells the module of the ends that have come together, and of those that this brings.
+func (s *Service) settle() {
+	for len(s.ends) > 0 {
+		s.ends, s.spare = s.spare[:0], s.ends
+		for _, e := range s.spare {
+			s.enter()
+			s.router.TripEnded(e.visit, e.rep)
+		}
+	}
+}
+
+// charge finds what is held of a visit, or nil.
+func (s *Service) charge(v decide.VisitID) *charge {
+	if at := v.Place(); at < len(s.charges) && s.charges[at].visit == v && s.charges[at].client != nil {
+		return &s.charges[at]
+	}
+	return nil
+}
+
+func (c *charge) find(n decide.TripNo) *out {
+	for i := range c.out {
+		if c.out[i].trip == n && !c.out[i].over {
+			return &c.out[i]
+		}
+	}
+	return nil
+}
+
+// Ready tells whether clients may come.
+func (s *Service) Ready() bool { return s.ready && !s.leaving }
+
+// SetReady tells that the first list is in.
+func (s *Service) SetReady() { s.ready = true }
+
+// SetLeaving tells that the router is to end soon.
+func (s *Service) SetLeaving() { s.leaving = true }
+
+// UseCase finds a use case by its name.
+func (s *Service) UseCase(name []byte) (decide.UseCaseID, bool) { return s.names.UseCase(name) }
+
+// Arrive takes a visit from a front.
+func (s *Service) Arrive(from front.Client, no uint64, ask *front.Ask) {
+	p := &s.parked
+	*p = charge{client: from, no: no, useful: *ask, object: string(ask.Object[:])}
+	if n := len(ask.Body) + len(ask.Have); n > 0 {
+		p.bytes = append(append(s.engine.Buffer(n), ask.Body...), ask.Have...)
+		p.useful.Body, p.useful.Have = p.bytes[:len(ask.Body)], p.bytes[len(ask.Body):]
+	}
+	s.arrived = p
+	s.enter()
+	s.router.Arrive(decide.Asked{UseCase: ask.Case, Object: decide.ObjectID(mix.Name(p.object)), Part: ask.Part,
+		Group: ask.Group, Tenant: -1, Repeat: ask.Repeat, Left: ask.Patience, KB: ask.KB})
+	s.arrived = nil
+}
+
+// Left hears that a visit's client has gone.
+func (s *Service) Left(v decide.VisitID) {
+	if c := s.charge(v); c != nil {
+		s.enter()
+		s.router.Left(v)
+	}
+}
+
+// Taken ties what has arrived to the module's name for it.
+func (s *Service) Taken(v decide.VisitID) {
+	for len(s.charges) <= v.Place() {
+		s.charges = append(s.charges, charge{})
+	}
+	c := &s.charges[v.Place()]
+	out := c.out[:0]
+	*c = *s.arrived
+	c.visit, c.out = v, out
+	c.client.Assigned(c.no, v)
+}
+
+// Send carries out an errand.
+func (s *Service) Send(v decide.VisitID, e decide.Errand) {
+	c := s.charge(v)
+	n := decide.TripNo(len(c.out))
+	c.out = append(c.out, out{trip: n, cache: e.Cache, sent: s.now})
+	get := trips.Get{Case: s.names.UseCases[c.useful.Case], Object: c.object, ID: c.useful.Mark, Part: c.useful.Part,
+		Budget: e.Until - s.now, Rank: e.Rank, Oldest: e.Oldest, Join: e.Join, Held: e.HeldOnly, Renew: e.Renew,
+		Have: c.useful.Have}
+	if e.Source != decide.NoCache && e.Source != e.Cache {
+		get.Source = s.listed[e.Source].name
+	}
+	s.head, s.fields = trips.AppendGet(s.head[:0], &get, len(c.useful.Body), s.fields)
+	t := trips.Ticket{Visit: v, Trip: n}
+	s.alarm(alarm{at: e.Until, trip: t})
+	s.yard.Send(t, e.Cache, c.useful.Mark, s.head, c.useful.Body)
+}
+
+// late ends a trip at its limit.
+func (s *Service) late(t trips.Ticket) {
+	c := s.charge(t.Visit)
+	if c == nil {
+		return
+	}
+	o := c.find(t.Trip)
+	if o == nil {
+		return
+	}
+	s.close(c, o, silence(s.yard.Drop(t, o.cache)), decide.NoTrace, 0, false)
+}
+
+// Withdraw gives one trip up.
+func (s *Service) Withdraw(v decide.VisitID, n decide.TripNo) {
+	c := s.charge(v)
+	if c == nil {
+		return
+	}
+	if o := c.find(n); o != nil {
+		s.yard.Drop(trips.Ticket{Visit: v, Trip: n}, o.cache)
+		s.close(c, o, decide.Withdrawn, decide.NoTrace, 0, false)
+	}
+}
+
+// close notes the end of a trip for the module.
+func (s *Service) close(c *charge, o *out, end decide.Ending, trace decide.Trace, first decide.Micros, over bool) {
+	o.over = true
+	s.ends = append(s.ends, ended{c.visit, decide.Report{Trip: o.trip, Ending: end, Trace: trace, Over: over,
+		Elapsed: max(decide.Micros(time.Now().UnixMicro()), s.now) - o.sent, FirstOut: first}})
+}
+
+// Ended hears from the yard how a trip ended.
+func (s *Service) Ended(t trips.Ticket, e *trips.End) {
+	c := s.charge(t.Visit)
+	if c == nil {
+		return
+	}
+	o := c.find(t.Trip)
+	if o == nil {
+		return
+	}
+	end, good := ending(e), e.Word == trips.Data || e.Word == trips.Unchanged
+	if good {
+		c.client.Deliver(c.no, e.Field("etag"), e.Body, e.Word == trips.Unchanged)
+	}
+	s.close(c, o, end, trace(e.Field("detail")), 0, good)
+}
+
+// Defer answers that trying again is harmless.
+func (s *Service) Defer(v decide.VisitID, _ decide.Micros) {
+	if c := s.charge(v); c != nil {
+		c.client.Defer(c.no)
+	}
+}
+
+// Scrap answers that the visit failed.
+func (s *Service) Scrap(v decide.VisitID) {
+	if c := s.charge(v); c != nil {
+		c.client.Scrap(c.no)
+	}
+}
+
+// Release forgets a visit.
+func (s *Service) Release(v decide.VisitID) {
+	if c := s.charge(v); c != nil {
+		s.engine.Done(c.bytes)
+		*c = charge{out: c.out[:0]}
+	}
+}
+
+// Wake arms the timer.
+func (s *Service) Wake(at decide.Micros) { s.alarm(alarm{at: at, wake: true}) }
+
+// Follow has nothing to do: the bulletin is always followed.
+func (s *Service) Follow() {}
+
+// Note logs a change of mode.
+func (s *Service) Note(line string) { s.log.Info("decide: " + line) }
+
+// Roster takes a list of caches from the bulletin.
+func (s *Service) Roster(whole bool, list []bulletin.Entry) {
+	s.list = s.list[:0]
+	if whole {
+		for i := range s.listed {
+			s.listed[i].removed = true
+		}
+	}
+	for _, x := range list {
+		id, ok := s.caches[x.Name]
+		if !ok {
+			id = decide.CacheID(len(s.listed))
+			s.caches[x.Name] = id
+			s.listed = append(s.listed, cache{name: x.Name, started: x.Started})
+		}
+		c := &s.listed[id]
+		anew := c.started != x.Started
+		c.started, c.removed = x.Started, x.State == bulletin.Removed
+		if x.State != bulletin.Removed {
+			s.yard.Place(id, x.Address, anew)
+		}
+		s.list = append(s.list, decide.Listed{ID: id, Mark: mix.Name(x.Name), Tier: s.names.Tier(x.Kind),
+			Zone: s.names.Zone(x.Zone), Cell: decide.CellID(x.Cell), Weight: x.Weight,
+			Started: decide.Micros(x.Started) * 1000, Standing: standings[x.State]})
+	}
+	for id, c := range s.listed {
+		if c.removed {
+			s.yard.Remove(decide.CacheID(id))
+		}
+	}
+	s.log.WithFields(logrus.Fields{"whole": whole, "lines": len(list)}).Info("list of caches")
+	s.enter()
+	s.router.List(s.list, whole)
+}
+
+var standings = [...]decide.Standing{decide.Up, decide.Draining, decide.Gone}
+
+// Recalled takes a purge from the bulletin.
+func (s *Service) Recalled(object string, whole bool, group int, issued int64) {
+	s.enter()
+	ago := max(s.now-decide.Micros(issued)*1000, 0)
+	s.router.Purged(decide.ObjectID(mix.Name(object)), decide.GroupID(group), whole, ago)
+}
+
+// Lost hears that the bulletin is out of reach.
+func (s *Service) Lost() {
+	s.enter()
+	s.router.ListLost()
+}
+
+// Found hears that the bulletin is back; its events have been told already.
+func (s *Service) Found() {}
--- /dev/null
+++ b/internal/trips/trips.go
@@ -0,0 +1,465 @@
+// Package trips holds the connections to caches, parents and the origin. It carries requests out and answers
+// back, and tells of each trip how far it had come when it ended. It never tries again and never picks a cache.
+package trips
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"threadrun/decide"
+	"threadrun/internal/resp"
+	"threadrun/internal/sockets"
+)
+
+// Ticket names one trip of one visit.
+type Ticket struct {
+	Visit decide.VisitID
+	Trip  decide.TripNo
+}
+
+// Reach is how far an attempt had come when it ended: what can have arrived at the other side.
+type Reach uint8
+
+const (
+	Unconnected Reach = iota // no connection ever stood for it
+	Unsent                   // the kernel took none of its bytes
+	PartSent                 // not all of them: no whole request can have arrived
+	Sent                     // all of them, and nothing has come back
+	Answering                // an answer to it, or to another on its connection, had begun
+)
+
+// Fault is the error of an attempt that got no answer.
+type Fault struct {
+	Reach Reach
+	Err   error
+}
+
+func (f *Fault) Error() string { return reaches[f.Reach] + ": " + f.Err.Error() }
+
+// Unwrap gives what ended the connection.
+func (f *Fault) Unwrap() error { return f.Err }
+
+var reaches = [...]string{"unconnected", "unsent", "part sent", "sent", "answering"}
+
+// Word is what an answer says.
+type Word uint8
+
+const (
+	Silent Word = iota // no answer: see the Fault
+	Data
+	Unchanged
+	Absent
+	Full
+	Failed
+	Moot
+	Unknown // a word that is not in the protocol
+)
+
+var words = map[string]Word{"data": Data, "unchanged": Unchanged, "absent": Absent, "full": Full,
+	"failed": Failed, "moot": Moot}
+
+// End is the end of one trip. Fields and Body are good within the call only.
+type End struct {
+	Word   Word
+	Fields []byte
+	Body   []byte
+	Fault  *Fault
+}
+
+// Field finds a value in a list of fields.
+func (e *End) Field(name string) []byte {
+	rest := e.Fields
+	for len(rest) > 0 {
+		var pair []byte
+		pair, rest, _ = bytes.Cut(rest, []byte(","))
+		if key, value, ok := bytes.Cut(pair, []byte("=")); ok && string(key) == name {
+			return value
+		}
+	}
+	return nil
+}
+
+// Host hears how trips end. It is called in the midst of things, and must not call back into the yard.
+type Host interface{ Ended(t Ticket, e *End) }
+
+// ID is a request's id on its connection: the client's own mark of the visit.
+type ID = [16]byte
+
+// Yard holds all connections.
+type Yard struct {
+	engine  *sockets.Engine
+	log     *logrus.Logger
+	host    Host
+	pools   []*pool
+	most    int // connections in all
+	each    int // to one cache
+	streams int // trips on one connection, where there can be no more connections
+	open    int
+	connect time.Duration
+	idle    time.Duration
+	ask     time.Duration // a connection idle for so long is asked whether it works
+	words   [4][]byte
+}
+
+// New makes an empty yard.
+func New(e *sockets.Engine, log *logrus.Logger, h Host, most, each, streams int,
+	connect, idle, ask time.Duration) *Yard {
+	return &Yard{engine: e, log: log, host: h, most: most, each: each, streams: streams, connect: connect,
+		idle: idle, ask: ask}
+}
+
+// pool is the connections to one cache.
+type pool struct {
+	address string
+	links   []*link
+}
+
+type trip struct {
+	ticket     Ticket
+	id         ID
+	begin, end int64 // where its bytes lie in what the connection was given
+}
+
+// link is one connection.
+type link struct {
+	yard   *Yard
+	pool   *pool
+	conn   *sockets.Conn
+	closed bool // no new trips
+	open   []trip
+	given  []ID // that were dropped on it: an answer that comes for one is nobody's
+	in     []byte
+	used   time.Time // last sign of life, or last trip set out
+	asked  time.Time // a PING is out since
+}
+
+const (
+	wordMost  = 260_000
+	givenMost = 64
+)
+
+// Place says where a cache is reached. A cache that moved or started anew gets new connections: the old ones may
+// lead to what was there before.
+func (y *Yard) Place(c decide.CacheID, address string, anew bool) {
+	for len(y.pools) <= int(c) {
+		y.pools = append(y.pools, nil)
+	}
+	p := y.pools[c]
+	if p == nil {
+		y.pools[c] = &pool{address: address}
+		return
+	}
+	if p.address != address || anew {
+		p.address = address
+		y.retire(p)
+	}
+}
+
+// Remove lets a cache's connections go as their trips end.
+func (y *Yard) Remove(c decide.CacheID) {
+	if int(c) < len(y.pools) && y.pools[c] != nil {
+		y.retire(y.pools[c])
+	}
+}
+
+func (y *Yard) retire(p *pool) {
+	for i := len(p.links) - 1; i >= 0; i-- {
+		l := p.links[i]
+		l.closed = true
+		if len(l.open) == 0 {
+			l.shut()
+		}
+	}
+}
+
+// Send sets a request out. Where there is no way out at all, its end is told within the call.
+func (y *Yard) Send(t Ticket, c decide.CacheID, id ID, head, body []byte) {
+	if int(c) >= len(y.pools) || y.pools[c] == nil {
+		y.host.Ended(t, &End{Fault: &Fault{Unconnected, errors.New("no address")}})
+		return
+	}
+	l := y.pools[c].pick(y, id)
+	if l == nil {
+		y.host.Ended(t, &End{Fault: &Fault{Unconnected, errors.New("no connection to be had")}})
+		return
+	}
+	begin := l.conn.Queued()
+	l.conn.Send(head, body, []byte("\r\n"))
+	l.open = append(l.open, trip{t, id, begin, l.conn.Queued()})
+	l.used = time.Now()
+}
+
+// pick takes an idle connection, else a new one, else the one with the fewest trips.
+func (p *pool) pick(y *Yard, id ID) *link {
+	var best *link
+	for _, l := range p.links {
+		if l.closed || len(l.open) >= y.streams || !l.asked.IsZero() || l.knows(id) {
+			continue
+		}
+		if best == nil || l.rank() < best.rank() {
+			best = l
+		}
+	}
+	if best != nil && best.conn.Up() && len(best.open) == 0 {
+		return best
+	}
+	if len(p.links) < y.each && y.open < y.most {
+		l := &link{yard: y, pool: p}
+		l.conn = y.engine.Dial(p.address, y.connect, l)
+		p.links = append(p.links, l)
+		y.open++
+		return l
+	}
+	return best
+}
+
+func (l *link) rank() int {
+	if l.conn.Up() {
+		return len(l.open)
+	}
+	return len(l.open) + 1
+}
+
+// knows tells whether an id has been on this connection and may yet be answered: a second trip of a visit must
+// not be taken for its first.
+func (l *link) knows(id ID) bool {
+	for i := range l.open {
+		if l.open[i].id == id {
+			return true
+		}
+	}
+	for _, g := range l.given {
+		if g == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Drop gives a trip up and tells how far it had come; nothing more is heard of it.
+func (y *Yard) Drop(t Ticket, c decide.CacheID) Reach {
+	if int(c) >= len(y.pools) || y.pools[c] == nil {
+		return Unconnected
+	}
+	for _, l := range y.pools[c].links {
+		for i := range l.open {
+			if l.open[i].ticket != t {
+				continue
+			}
+			o := l.open[i]
+			reach := l.reach(&o)
+			l.remove(i)
+			if !l.conn.Up() && len(l.open) == 0 { // the request must not set out once the connection stands
+				l.shut()
+				return reach
+			}
+			l.given = append(l.given, o.id)
+			if l.conn.Queued()-l.conn.Sent() > 0 && reach < Sent || len(l.given) >= givenMost {
+				l.closed = true
+			}
+			l.conn.Send(resp.AppendWord(resp.AppendWord(resp.AppendArray(nil, 2), "DROP"), o.id[:]))
+			l.rest()
+			return reach
+		}
+	}
+	return Unconnected
+}
+
+func (l *link) reach(t *trip) Reach {
+	switch sent := l.conn.Sent(); {
+	case !l.conn.Up():
+		return Unconnected
+	case sent <= t.begin:
+		return Unsent
+	case sent < t.end:
+		return PartSent
+	case len(l.in) > 0:
+		return Answering
+	}
+	return Sent
+}
+
+func (l *link) remove(i int) { l.open = append(l.open[:i], l.open[i+1:]...) }
+
+// rest closes a connection that is to take no more trips, once it has none.
+func (l *link) rest() {
+	if l.closed && len(l.open) == 0 {
+		l.shut()
+	}
+}
+
+// shut closes a connection without trips.
+func (l *link) shut() {
+	l.conn.Close()
+	l.leave()
+}
+
+func (l *link) leave() {
+	l.closed = true
+	for i, o := range l.pool.links {
+		if o == l {
+			l.pool.links = append(l.pool.links[:i], l.pool.links[i+1:]...)
+			l.yard.open--
+			break
+		}
+	}
+	l.yard.engine.Done(l.in)
+	l.in = nil
+}
+
+// Closed ends all trips of a connection as what they provably are.
+func (l *link) Closed(err error) {
+	ends := make([]*Fault, len(l.open))
+	for i := range l.open {
+		ends[i] = &Fault{l.reach(&l.open[i]), err}
+	}
+	open := l.open
+	l.open = nil
+	l.leave()
+	for i, t := range open {
+		l.yard.host.Ended(t.ticket, &End{Fault: ends[i]})
+	}
+}
+
+// Data takes answers, whole ones in place.
+func (l *link) Data(b []byte) error {
+	l.used, l.asked = time.Now(), time.Time{}
+	held := len(l.in) > 0
+	if held {
+		l.in = l.yard.engine.Gather(l.in, b)
+		b = l.in
+	}
+	for len(b) > 0 {
+		words := l.yard.words[:]
+		n, size, err := resp.Parse(b, words, wordMost)
+		if errors.Is(err, resp.ErrShort) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		if n >= 2 {
+			l.answer(words[:n])
+		} else {
+			return resp.ErrBroken
+		}
+		b = b[size:]
+	}
+	switch {
+	case len(b) == 0:
+		l.yard.engine.Done(l.in)
+		l.in = nil
+	case held:
+		l.in = l.in[:copy(l.in, b)]
+	default:
+		l.in = l.yard.engine.Gather(nil, b)
+	}
+	l.rest()
+	return nil
+}
+
+// answer finds the trip that an answer is for. Late, repeated and unknown ones are nobody's.
+func (l *link) answer(words [][]byte) {
+	for i := range l.open {
+		if string(l.open[i].id[:]) != string(words[0]) {
+			continue
+		}
+		t := l.open[i].ticket
+		e := End{Word: Unknown}
+		if w, ok := wordOf(words[1]); ok && (len(words) == 4 || w != Data && w != Unchanged) {
+			e.Word = w
+		}
+		if len(words) > 2 {
+			e.Fields = words[2]
+		}
+		if len(words) > 3 {
+			e.Body = words[3]
+		}
+		l.remove(i)
+		l.yard.host.Ended(t, &e)
+		return
+	}
+}
+
+func wordOf(b []byte) (Word, bool) { w, ok := words[string(b)]; return w, ok }
+
+// Beat closes what has been idle for long, and asks what has been idle for a while whether it works: wards off
+// sending visits into a connection whose other side has vanished without a word.
+func (y *Yard) Beat(now time.Time) {
+	for _, p := range y.pools {
+		if p == nil {
+			continue
+		}
+		for i := len(p.links) - 1; i >= 0; i-- {
+			l := p.links[i]
+			switch {
+			case !l.conn.Up():
+			case !l.asked.IsZero() && now.Sub(l.asked) > y.connect:
+				l.closed = true
+				if len(l.open) == 0 {
+					y.log.WithField("address", p.address).Debug("trips: silent connection closed")
+					l.shut()
+				}
+			case !l.asked.IsZero():
+			case len(l.open) == 0 && now.Sub(l.used) > y.idle:
+				l.shut()
+			case now.Sub(l.used) > y.ask:
+				l.asked = now
+				l.conn.Send(resp.AppendWord(resp.AppendWord(resp.AppendArray(nil, 2), "PING"), "still"))
+			}
+		}
+	}
+}
+
+// Get is one request.
+type Get struct {
+	Case, Object string
+	ID           ID
+	Part         int
+	Budget       decide.Micros
+	Source       string // "": no fill
+	Rank         int
+	Oldest       decide.Micros // 0: the use case's own
+	Join, Held   bool
+	Renew        bool
+	Have         []byte // the client's copy
+}
+
+// AppendGet writes a request up to its body, of the given length, which is to follow with a line's end. Spans are
+// cut to whole milliseconds, never to 0, which would mean something else.
+func AppendGet(b []byte, g *Get, body int, scratch []byte) ([]byte, []byte) {
+	f := append(append(scratch[:0], "queue="...), g.Case...)
+	f = append(append(f, ",path="...), g.Object...)
+	f = strconv.AppendInt(append(f, ",blk="...), int64(g.Part), 10)
+	f = strconv.AppendInt(append(f, ",budget="...), millis(g.Budget), 10)
+	if g.Source != "" {
+		f = append(append(f, ",src="...), g.Source...)
+	}
+	if g.Rank > 0 {
+		f = strconv.AppendInt(append(f, ",keep="...), int64(g.Rank), 10)
+	}
+	if g.Oldest > 0 {
+		f = strconv.AppendInt(append(f, ",maxage="...), millis(g.Oldest), 10)
+	}
+	sep := ",flags="
+	for _, flag := range [...]struct {
+		on   bool
+		name string
+	}{{g.Join, "share"}, {g.Held, "peek"}, {g.Renew, "swr"}} {
+		if flag.on {
+			f = append(append(f, sep...), flag.name...)
+			sep = "+"
+		}
+	}
+	if len(g.Have) > 0 {
+		f = append(append(f, ",have="...), g.Have...)
+	}
+	b = resp.AppendWord(resp.AppendWord(resp.AppendArray(b, 4), "GET"), g.ID[:])
+	return resp.AppendHead(resp.AppendWord(b, f), body), f
+}
+
+func millis(t decide.Micros) int64 { return max(int64(t/1000), 1) }
