Bound what clients may leave unread, connections and halves of requests; a clock that never stands

Before: a client that does not read could hold 8 MB on each of 400 connections, halves of requests 128 KB each, and an idle flood shut others out. Now one bound holds for all clients together, the longest idle connection makes room, and a connection to a cache that is idle makes room for one that is needed. The module's clock runs from the start's Unix time by the monotonic clock: a system clock set back would have stopped every time limit. A panic of the module over one trip's end no longer loses the ends behind it.

--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -257,19 +258,30 @@
 		e := Entry{Name: string(t.GetStringBytes("uid")), Address: string(t.GetStringBytes("endpoint")),
 			Zone: string(t.GetStringBytes("az")), Kind: string(t.GetStringBytes("model")),
 			Cell: t.GetInt("pod_group"), Weight: t.GetFloat64("capacity_hint"), Started: int64(t.GetFloat64("boot_ms"))}
-		switch s := string(t.GetStringBytes("state")); {
-		case s == "up" && e.Address != "":
-		case s == "draining" && e.Address != "":
+		_, err := netip.ParseAddrPort(e.Address)
+		state := string(t.GetStringBytes("state"))
+		switch good := err == nil && plain(e.Name); {
+		case state == "up" && good:
+		case state == "draining" && good:
 			e.State = Draining
-		case s == "removed":
+		case state == "removed" && e.Name != "":
 			e.State = Removed
 		default:
-			log.WithFields(logrus.Fields{"uid": e.Name, "state": s}).Warn("bulletin: line of the list skipped")
+			log.WithFields(logrus.Fields{"uid": e.Name, "state": state, "endpoint": e.Address}).
+				Warn("bulletin: line of the list skipped")
 			continue
 		}
-		if e.Name != "" {
-			list = append(list, e)
-		}
+		list = append(list, e)
 	}
 	return list, nil
 }
+
+// plain tells whether a name can stand in a list of fields.
+func plain(s string) bool {
+	for _, c := range []byte(s) {
+		if c <= ' ' || c == ',' || c == '=' || c >= 0x7f {
+			return false
+		}
+	}
+	return s != ""
+}
--- a/internal/deployment/file.go
+++ b/internal/deployment/file.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"strconv"
 	"time"
@@ -49,6 +50,9 @@
 	}
 	address(k, "listen", f.Listen)
 	address(k, "bulletin", f.Board)
+	if _, err := netip.ParseAddrPort(f.Board); err != nil { // there are no names to look up
+		k.fault("bulletin", fmt.Sprintf("is %q, no numeric address", f.Board))
+	}
 	if seed, err := strconv.ParseUint(k.word(v, "seed"), 16, 64); err == nil {
 		f.Seed = uint32(seed ^ seed>>32)
 	} else {
@@ -88,19 +92,21 @@
 	return cores, memoryMB, descriptors, f.wrap(k.err)
 }
 
-// Pools gives the bounds on connections. The optional object 'pools' overrides the defaults, which come from the
-// limit on descriptors.
-func (f *File) Pools() (clients, caches, each, backlog int, err error) {
+// Pools gives the bounds on connections: how many clients and caches may have, together and each cache; how many
+// bytes a client may leave unread; after how long an idle client is cut off. The optional object 'pools' overrides
+// the defaults, which come from the limit on descriptors.
+func (f *File) Pools() (clients, caches, each, backlog int, idle time.Duration, err error) {
 	_, _, descriptors, err := f.Limits()
 	if err != nil {
-		return 0, 0, 0, 0, err
+		return 0, 0, 0, 0, 0, err
 	}
 	k := &keys{}
 	clients = int(k.number(f.v, "pools.clients", float64(descriptors*2/5), 1))
 	caches = int(k.number(f.v, "pools.caches", float64(descriptors*2/5), 1))
 	each = int(k.number(f.v, "pools.each_cache", 48, 1))
 	backlog = int(k.number(f.v, "pools.unread_bytes", 8<<20, 1<<18))
-	return clients, caches, each, backlog, f.wrap(k.err)
+	idle = time.Duration(k.number(f.v, "pools.client_idle_ms", 30_000, 1000)) * time.Millisecond
+	return clients, caches, each, backlog, idle, f.wrap(k.err)
 }
 
 // Polls gives the bulletin's waits: how long one poll may be held, and how much longer it may take.
--- a/internal/deployment/site.go
+++ b/internal/deployment/site.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 
 	"github.com/valyala/fastjson"
 
@@ -90,8 +91,8 @@
 	n.Parent, n.Origin = kind("mid_kind"), kind("root_kind")
 	for i, c := range k.array(in, "lanes", true) {
 		name := string(c.GetStringBytes("name"))
-		if name == "" {
-			k.fault(fmt.Sprintf("lanes[%d].name", i), "is missing")
+		if name == "" || strings.ContainsAny(name, " ,=\r\n") {
+			k.fault(fmt.Sprintf("lanes[%d].name", i), fmt.Sprintf("is %q, no plain word", name))
 		}
 		n.byCase[name] = decide.UseCaseID(i)
 		n.UseCases = append(n.UseCases, name)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -14,7 +14,6 @@
 	Object   Mark
 	Part     int
 	Group    decide.GroupID
-	Repeat   bool
 	Patience decide.Micros
 	KB       float64
 	Have     []byte // tag of a copy that the client holds
--- a/internal/front/rpc.go
+++ b/internal/front/rpc.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"strconv"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -19,23 +20,78 @@
 	visits  Visits
 	owed    int // visits without an answer
 	backlog int // bytes that clients may leave unread, on one connection
+	most    int // connections
+	idle    time.Duration
 	conns   map[*caller]struct{}
+	crowded bool
+	held    int // bytes of unfinished requests
+	ask     Ask
 	head    []byte
 	tail    []byte
 }
 
-// NewRPC makes the front. A client that leaves more unread than backlog is cut off.
-func NewRPC(e *sockets.Engine, log *logrus.Logger, v Visits, backlog int) *RPC {
-	return &RPC{engine: e, log: log, visits: v, backlog: backlog, conns: map[*caller]struct{}{}}
+// NewRPC makes the front. A client is cut off that leaves more than backlog bytes unread, that all clients together
+// may leave a few times over, or reads nothing for the idle time; where there are too many connections, those go
+// first that have been idle longest.
+func NewRPC(e *sockets.Engine, log *logrus.Logger, v Visits, backlog, most int, idle time.Duration) *RPC {
+	return &RPC{engine: e, log: log, visits: v, backlog: backlog, most: most, idle: idle,
+		conns: map[*caller]struct{}{}}
 }
 
 // Accept makes the object behind a client's connection.
 func (f *RPC) Accept(c *sockets.Conn) sockets.Owner {
-	o := &caller{front: f, conn: c}
+	now := time.Now()
+	if len(f.conns) >= f.most {
+		var oldest *caller
+		for o := range f.conns {
+			if len(o.open) == 0 && o.unread() == 0 && (oldest == nil || o.used.Before(oldest.used)) {
+				oldest = o
+			}
+		}
+		if oldest != nil {
+			oldest.cut(errCrowded)
+		}
+		if !f.crowded {
+			f.crowded = true
+			f.log.WithField("connections", len(f.conns)).Warn("front: crowded, idle connections are closed")
+		}
+	}
+	o := &caller{front: f, conn: c, used: now, moved: now}
 	f.conns[o] = struct{}{}
 	return o
 }
 
+// Beat cuts off clients that have left too much unread, or nothing has been heard of for long. It is called under
+// the lock, some tens of times a second.
+func (f *RPC) Beat(now time.Time) {
+	if f.crowded && len(f.conns) < f.most*3/4 {
+		f.crowded = false
+		f.log.WithField("connections", len(f.conns)).Info("front: no longer crowded")
+	}
+	total, most := 0, 0
+	var worst *caller
+	for c := range f.conns {
+		unread := c.unread()
+		if sent := c.conn.Sent(); sent != c.sent || unread == 0 {
+			c.sent, c.moved = sent, now
+		}
+		switch {
+		case unread > f.backlog || now.Sub(c.moved) > f.idle:
+			c.cut(errUnread)
+			continue
+		case len(c.open) == 0 && unread == 0 && now.Sub(c.used) > f.idle:
+			c.cut(errIdle)
+			continue
+		}
+		if total += unread; unread > most {
+			worst, most = c, unread
+		}
+	}
+	if total > backlogs*f.backlog { // wards off many slow readers that fill the memory together
+		worst.cut(errUnread)
+	}
+}
+
 // Quiet tells that every visit has its answer and every answer is with the kernel.
 func (f *RPC) Quiet() bool {
 	if f.owed > 0 {
@@ -55,6 +111,17 @@
 	conn  *sockets.Conn
 	in    []byte
 	open  []asked
+	used  time.Time // last request
+	moved time.Time // last time that the client read, or had nothing to read
+	sent  int64
+}
+
+func (c *caller) unread() int { return int(c.conn.Queued() - c.conn.Sent()) }
+
+// cut closes a connection for its client's fault.
+func (c *caller) cut(err error) {
+	c.conn.Close()
+	c.Closed(err)
 }
 
 type asked struct {
@@ -63,9 +130,12 @@
 }
 
 const (
-	messageMost = 128 << 10
+	messageMost = 1 << 20 // what is too large, but not absurd, gets an answer
+	heldMost    = 24 << 20
+	backlogs    = 5
 	bodyMost    = 48_000
-	openMost    = 64 // twice what clients keep to
+	spareOf     = 4096 // a request without a body is shorter
+	openMost    = 64   // twice what clients keep to
 	tagMost     = 64
 )
 
@@ -74,6 +144,9 @@
 	errSameID   = errors.New("an id that is open already")
 	errTooMany  = errors.New("too many open requests")
 	errUnread   = errors.New("answers left unread")
+	errIdle     = errors.New("idle")
+	errCrowded  = errors.New("idle among too many")
+	errHeld     = errors.New("unfinished requests fill the memory")
 	errField    = errors.New("unusable field")
 	errDoubled  = errors.New("doubled field")
 	errMissing  = errors.New("missing field")
@@ -84,7 +157,10 @@
 
 // Data takes requests, whole ones in place.
 func (c *caller) Data(b []byte) error {
+	c.used = time.Now()
 	held := len(c.in) > 0
+	c.front.held -= len(c.in)
+	defer func() { c.front.held += len(c.in) }()
 	if held {
 		c.in = c.front.engine.Gather(c.in, b)
 		b = c.in
@@ -111,8 +187,8 @@
 	default:
 		c.in = c.front.engine.Gather(nil, b)
 	}
-	if c.conn.Queued()-c.conn.Sent() > int64(c.front.backlog) { // wards off filling memory for a client that does not read
-		return errUnread
+	if len(c.in) > spareOf && c.front.held+len(c.in) > heldMost { // wards off a flood of halves of large requests
+		return errHeld
 	}
 	return nil
 }
@@ -152,8 +228,9 @@
 		c.probed(id)
 		return nil
 	}
-	var ask Ask
-	err := c.read(&r, method, &ask)
+	ask := &c.front.ask
+	*ask = Ask{}
+	err := c.read(&r, method, ask)
 	if err == nil && len(c.open) >= openMost {
 		err = errTooMany
 	}
@@ -163,7 +240,7 @@
 	}
 	c.open = append(c.open, asked{id: id})
 	c.front.owed++
-	c.front.visits.Arrive(c, id, &ask)
+	c.front.visits.Arrive(c, id, ask)
 	return nil
 }
 
@@ -215,8 +292,6 @@
 		case "ver":
 			bit, ok = 64, word(value)
 			a.Have = value
-		case "redo":
-			bit, a.Repeat = 128, len(value) > 0 && string(value) != "0"
 		default:
 			continue
 		}
@@ -231,7 +306,7 @@
 	if r.Err() != nil {
 		return errField
 	}
-	if seen&23 != 23 {
+	if seen&31 != 31 { // all but size and ver
 		return errMissing
 	}
 	if args > 1 {
@@ -271,10 +346,10 @@
 // Closed ends what is owed on a connection that is gone.
 func (c *caller) Closed(err error) {
 	delete(c.front.conns, c)
+	c.front.held -= len(c.in)
 	c.front.engine.Done(c.in)
 	c.in = nil
-	if errors.Is(err, errUnread) || errors.Is(err, errNotRPC) || errors.Is(err, errSameID) ||
-		errors.Is(err, msgpack.ErrBroken) || errors.Is(err, msgpack.ErrBound) {
+	if !errors.Is(err, errIdle) && !errors.Is(err, errCrowded) && sockets.Ours(err) {
 		c.front.log.WithError(err).WithField("client", c.conn).Warn("front: connection closed")
 	}
 	open := c.open
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -25,19 +25,20 @@
 	yard   *trips.Yard
 	poll   *bulletin.Poll
 
+	start   time.Time
 	now     decide.Micros
 	charges []charge // by the visit's place
 	arrived *charge  // the visit that is arriving
 	parked  charge
 	ends    []ended // told to the module at the end of the callback, never from within its own calls
-	spare   []ended
+	told    int     // of them
 	alarms  alarms
 	rung    chan struct{} // wakes the timer for an earlier alarm
 	armed   decide.Micros // what the timer waits for
 	caches  map[string]decide.CacheID
 	listed  []cache // by CacheID
 	list    []decide.Listed
-	ready   bool
+	front   func(now time.Time) // upkeep of the front
 	leaving bool
 	head    []byte
 	fields  []byte
@@ -46,7 +47,8 @@
 // cache is what sockets need of one.
 type cache struct {
 	name    string
-	started int64
+	boot    int64         // Unix ms, as listed
+	started decide.Micros // the same on our clock
 	removed bool
 }
 
@@ -55,9 +57,8 @@
 	visit  decide.VisitID
 	client front.Client
 	no     uint64
-	useful front.Ask // Body and Have point into bytes
+	ask    front.Ask // Body and Have point into bytes
 	bytes  []byte
-	object string
 	out    []out
 }
 
@@ -79,20 +80,32 @@
 
 // New makes a service that is not yet running; Module and Poll are to follow.
 func New(e *sockets.Engine, log *logrus.Logger) *Service {
-	s := &Service{engine: e, log: log, rung: make(chan struct{}, 1), caches: map[string]decide.CacheID{}}
+	s := &Service{engine: e, log: log, start: time.Now(), rung: make(chan struct{}, 1),
+		caches: map[string]decide.CacheID{}}
 	e.After = s.settle
 	return s
 }
 
-// Attach gives the service its parts.
-func (s *Service) Attach(r *decide.Router, n *deployment.Names, y *trips.Yard, p *bulletin.Poll) {
-	s.router, s.names, s.yard, s.poll = r, n, y, p
+// Attach gives the service its parts; front is the upkeep of its front.
+func (s *Service) Attach(r *decide.Router, n *deployment.Names, y *trips.Yard, p *bulletin.Poll,
+	front func(now time.Time)) {
+	s.router, s.names, s.yard, s.poll, s.front = r, n, y, p, front
 	s.enter()
 }
 
-// enter begins every call of the module: the clock first, and never backwards.
+// clock is the Unix time at the start and the time that has run since: it never goes backwards and never stands.
+func (s *Service) clock() decide.Micros {
+	return decide.Micros(s.start.UnixMicro() + time.Since(s.start).Microseconds())
+}
+
+// own turns a Unix time in milliseconds into one on our clock, should the system's have been set since the start.
+func (s *Service) own(unixMS int64) decide.Micros {
+	return s.clock() - decide.Micros(time.Now().UnixMicro()-unixMS*1000)
+}
+
+// enter begins every call of the module: the clock first.
 func (s *Service) enter() {
-	s.now = max(s.now, decide.Micros(time.Now().UnixMicro()))
+	s.now = s.clock()
 	s.router.Clock(s.now)
 }
 
@@ -107,24 +120,24 @@
 		case <-s.rung:
 		case <-timer.C:
 		}
-		var next decide.Micros
+		s.engine.Do(s.ring)
 		s.engine.Do(func() {
-			s.ring()
 			if now := time.Now(); now.Sub(beat) >= beatEvery {
 				beat = now
 				s.engine.Beat(now)
 				s.yard.Beat(now)
 				s.poll.Beat(now)
+				s.front(now)
 			}
 		})
 		s.engine.Do(func() {
-			next = decide.Micros(beat.Add(beatEvery).UnixMicro())
+			next := s.clock() + decide.Micros(beatEvery.Microseconds())
 			if len(s.alarms) > 0 {
 				next = min(next, s.alarms[0].at)
 			}
 			s.armed = next
+			timer.Reset(time.Duration(next-s.clock()) * time.Microsecond)
 		})
-		timer.Reset(time.Until(time.UnixMicro(int64(next))))
 	}
 }
 
@@ -158,13 +171,26 @@
 
 // settle tells the module of the ends that have come together, and of those that this brings.
 func (s *Service) settle() {
-	for len(s.ends) > 0 {
-		s.ends, s.spare = s.spare[:0], s.ends
-		for _, e := range s.spare {
-			s.enter()
-			s.router.TripEnded(e.visit, e.rep)
-		}
+	for s.told < len(s.ends) {
+		e := s.ends[s.told]
+		s.told++
+		s.tell(e)
 	}
+	s.ends, s.told = s.ends[:0], 0
+}
+
+// tell reports one end. Should the module panic over it, that visit is answered and no other suffers.
+func (s *Service) tell(e ended) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.log.WithField("panic", p).Error("service: a trip's end")
+			if c := s.charge(e.visit); c != nil {
+				c.client.Scrap(c.no)
+			}
+		}
+	}()
+	s.enter()
+	s.router.TripEnded(e.visit, e.rep)
 }
 
 // charge finds what is held of a visit, or nil.
@@ -184,11 +210,8 @@
 	return nil
 }
 
-// Ready tells whether clients may come.
-func (s *Service) Ready() bool { return s.ready && !s.leaving }
-
-// SetReady tells that the first list is in.
-func (s *Service) SetReady() { s.ready = true }
+// Ready tells whether clients may come: the first list is in, and the end is not near.
+func (s *Service) Ready() bool { return len(s.listed) > 0 && !s.leaving }
 
 // SetLeaving tells that the router is to end soon.
 func (s *Service) SetLeaving() { s.leaving = true }
@@ -199,15 +222,15 @@
 // Arrive takes a visit from a front.
 func (s *Service) Arrive(from front.Client, no uint64, ask *front.Ask) {
 	p := &s.parked
-	*p = charge{client: from, no: no, useful: *ask, object: string(ask.Object[:])}
+	*p = charge{client: from, no: no, ask: *ask}
 	if n := len(ask.Body) + len(ask.Have); n > 0 {
 		p.bytes = append(append(s.engine.Buffer(n), ask.Body...), ask.Have...)
-		p.useful.Body, p.useful.Have = p.bytes[:len(ask.Body)], p.bytes[len(ask.Body):]
+		p.ask.Body, p.ask.Have = p.bytes[:len(ask.Body)], p.bytes[len(ask.Body):]
 	}
 	s.arrived = p
 	s.enter()
-	s.router.Arrive(decide.Asked{UseCase: ask.Case, Object: decide.ObjectID(mix.Name(p.object)), Part: ask.Part,
-		Group: ask.Group, Tenant: -1, Repeat: ask.Repeat, Left: ask.Patience, KB: ask.KB})
+	s.router.Arrive(decide.Asked{UseCase: ask.Case, Object: decide.ObjectID(mix.Name(string(ask.Object[:]))),
+		Part: ask.Part, Group: ask.Group, Tenant: -1, Left: ask.Patience, KB: ask.KB})
 	s.arrived = nil
 }
 
@@ -236,16 +259,16 @@
 	c := s.charge(v)
 	n := decide.TripNo(len(c.out))
 	c.out = append(c.out, out{trip: n, cache: e.Cache, sent: s.now})
-	get := trips.Get{Case: s.names.UseCases[c.useful.Case], Object: c.object, ID: c.useful.Mark, Part: c.useful.Part,
+	get := trips.Get{Case: s.names.UseCases[c.ask.Case], Object: c.ask.Object, ID: c.ask.Mark, Part: c.ask.Part,
 		Budget: e.Until - s.now, Rank: e.Rank, Oldest: e.Oldest, Join: e.Join, Held: e.HeldOnly, Renew: e.Renew,
-		Have: c.useful.Have}
+		Have: c.ask.Have}
 	if e.Source != decide.NoCache && e.Source != e.Cache {
 		get.Source = s.listed[e.Source].name
 	}
-	s.head, s.fields = trips.AppendGet(s.head[:0], &get, len(c.useful.Body), s.fields)
+	s.head, s.fields = trips.AppendGet(s.head[:0], &get, len(c.ask.Body), s.fields)
 	t := trips.Ticket{Visit: v, Trip: n}
 	s.alarm(alarm{at: e.Until, trip: t})
-	s.yard.Send(t, e.Cache, c.useful.Mark, s.head, c.useful.Body)
+	s.yard.Send(t, e.Cache, c.ask.Mark, s.head, c.ask.Body)
 }
 
 // late ends a trip at its limit.
@@ -277,7 +300,7 @@
 func (s *Service) close(c *charge, o *out, end decide.Ending, trace decide.Trace, first decide.Micros, over bool) {
 	o.over = true
 	s.ends = append(s.ends, ended{c.visit, decide.Report{Trip: o.trip, Ending: end, Trace: trace, Over: over,
-		Elapsed: max(decide.Micros(time.Now().UnixMicro()), s.now) - o.sent, FirstOut: first}})
+		Elapsed: max(s.clock()-o.sent, 0), FirstOut: first}})
 }
 
 // Ended hears from the yard how a trip ended.
@@ -341,17 +364,23 @@
 		if !ok {
 			id = decide.CacheID(len(s.listed))
 			s.caches[x.Name] = id
-			s.listed = append(s.listed, cache{name: x.Name, started: x.Started})
+			s.listed = append(s.listed, cache{name: x.Name})
 		}
 		c := &s.listed[id]
-		anew := c.started != x.Started
-		c.started, c.removed = x.Started, x.State == bulletin.Removed
+		anew := c.boot != x.Started
+		if anew {
+			c.started = 0
+			if x.Started > 0 {
+				c.started = s.own(x.Started)
+			}
+		}
+		c.boot, c.removed = x.Started, x.State == bulletin.Removed
 		if x.State != bulletin.Removed {
 			s.yard.Place(id, x.Address, anew)
 		}
 		s.list = append(s.list, decide.Listed{ID: id, Mark: mix.Name(x.Name), Tier: s.names.Tier(x.Kind),
 			Zone: s.names.Zone(x.Zone), Cell: decide.CellID(x.Cell), Weight: x.Weight,
-			Started: decide.Micros(x.Started) * 1000, Standing: standings[x.State]})
+			Started: c.started, Standing: standings[x.State]})
 	}
 	for id, c := range s.listed {
 		if c.removed {
@@ -368,7 +397,7 @@
 // Recalled takes a purge from the bulletin.
 func (s *Service) Recalled(object string, whole bool, group int, issued int64) {
 	s.enter()
-	ago := max(s.now-decide.Micros(issued)*1000, 0)
+	ago := max(s.now-s.own(issued), 0)
 	s.router.Purged(decide.ObjectID(mix.Name(object)), decide.GroupID(group), whole, ago)
 }
 
--- /dev/null
+++ b/internal/service/start.go
@@ -0,0 +1,98 @@
+package service
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"threadrun/decide"
+	"threadrun/internal/bulletin"
+	"threadrun/internal/deployment"
+	"threadrun/internal/front"
+	"threadrun/internal/sockets"
+	"threadrun/internal/trips"
+)
+
+// Running is a router at work.
+type Running struct {
+	engine *sockets.Engine
+	desk   *Service
+	rpc    *front.RPC
+	done   chan struct{}
+}
+
+const (
+	serveOn   = 800 * time.Millisecond // clients go on coming for a while after the word to end
+	quietFor  = 40 * time.Millisecond  // all answered for so long
+	askAfter  = time.Second            // a connection to a cache that has said nothing for so long is tried
+	idleShare = 5                      // idle connections are closed this part of the time before the other side does
+)
+
+// Start makes a router of its parts and opens its doors.
+func Start(file *deployment.File, log *logrus.Logger) (*Running, error) {
+	_, _, descriptors, err := file.Limits()
+	if err != nil {
+		return nil, err
+	}
+	clients, caches, each, backlog, clientIdle, err := file.Pools()
+	if err != nil {
+		return nil, err
+	}
+	wait, slack, err := file.Polls()
+	if err != nil {
+		return nil, err
+	}
+	connect, idle, streams, err := deployment.Connections(file.Site)
+	if err != nil {
+		return nil, file.Fault(err)
+	}
+	engine, err := sockets.New(log, descriptors)
+	if err != nil {
+		return nil, err
+	}
+	desk := New(engine, log)
+	router, names, err := deployment.Site(file.Site, file.Seed, desk)
+	if err != nil {
+		return nil, file.Fault(err)
+	}
+	yard := trips.New(engine, log, desk, caches, each, streams, span(connect), span(idle-idle/idleShare), askAfter)
+	poll := bulletin.New(engine, log, desk, file.Board, wait, slack)
+	rpc := front.NewRPC(engine, log, desk, backlog, clients, clientIdle)
+	desk.Attach(router, names, yard, poll, rpc.Beat)
+	engine.Do(func() { err = poll.Known(file.Known) })
+	if err != nil {
+		return nil, file.Fault(fmt.Errorf("key 'known': %w", err))
+	}
+	if err := engine.Listen(file.Listen, clients+clients/8, rpc.Accept); err != nil {
+		return nil, fmt.Errorf("listening on %s: %w", file.Listen, err)
+	}
+	r := &Running{engine: engine, desk: desk, rpc: rpc, done: make(chan struct{})}
+	go desk.Run(r.done)
+	log.WithFields(logrus.Fields{"name": file.Name, "listen": file.Listen}).Info("serving")
+	return r, nil
+}
+
+// Leave serves on for a while, and then until all is answered and every answer is with the kernel.
+func (r *Running) Leave() {
+	r.engine.Do(r.desk.SetLeaving)
+	last, least := time.Now(), time.Now().Add(serveOn)
+	for {
+		time.Sleep(5 * time.Millisecond)
+		quiet := false
+		r.engine.Do(func() { quiet = r.rpc.Quiet() })
+		if now := time.Now(); !quiet {
+			last = now
+		} else if now.After(least) && now.Sub(last) > quietFor {
+			return
+		}
+	}
+}
+
+// Stop ends everything at once.
+func (r *Running) Stop() {
+	close(r.done)
+	r.engine.Stop()
+}
+
+func span(t decide.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"os"
@@ -28,10 +29,21 @@
 // ErrPanic ends a connection whose callback panicked.
 var ErrPanic = errors.New("panic in a callback")
 
-var (
-	errSlowConnect = errors.New("no connection in time")
-	errPoller      = errors.New("closed by the other side")
-)
+var errSlowConnect = errors.New("no connection in time")
+
+// Theirs is the end of a connection by the other side or the way between.
+type Theirs struct{ Err error }
+
+func (t *Theirs) Error() string { return "connection ended: " + t.Err.Error() }
+
+// Unwrap gives what the kernel said.
+func (t *Theirs) Unwrap() error { return t.Err }
+
+// Ours tells whether a connection was ended on this side, for what came over it.
+func Ours(err error) bool {
+	var t *Theirs
+	return !errors.As(err, &t)
+}
 
 // Engine is the poller with its lock. After, where set, runs at the end of every callback, still under the lock.
 type Engine struct {
@@ -252,9 +264,9 @@
 		return
 	}
 	if err == nil {
-		err = errPoller
+		err = io.EOF
 	}
-	c.fail(err)
+	c.fail(&Theirs{err})
 	if c.accepted != nil {
 		c.accepted()
 	}
--- a/internal/trips/trips.go
+++ b/internal/trips/trips.go
@@ -103,6 +103,7 @@
 	idle    time.Duration
 	ask     time.Duration // a connection idle for so long is asked whether it works
 	words   [4][]byte
+	end     End
 }
 
 // New makes an empty yard.
@@ -207,6 +208,9 @@
 	if best != nil && best.conn.Up() && len(best.open) == 0 {
 		return best
 	}
+	if len(p.links) < y.each && y.open >= y.most {
+		y.evict()
+	}
 	if len(p.links) < y.each && y.open < y.most {
 		l := &link{yard: y, pool: p}
 		l.conn = y.engine.Dial(p.address, y.connect, l)
@@ -217,6 +221,25 @@
 	return best
 }
 
+// evict lets the connection go that has been idle longest: wards off a cache out of reach because others hold all
+// descriptors.
+func (y *Yard) evict() {
+	var oldest *link
+	for _, p := range y.pools {
+		if p == nil {
+			continue
+		}
+		for _, l := range p.links {
+			if len(l.open) == 0 && (oldest == nil || l.used.Before(oldest.used)) {
+				oldest = l
+			}
+		}
+	}
+	if oldest != nil {
+		oldest.shut()
+	}
+}
+
 func (l *link) rank() int {
 	if l.conn.Up() {
 		return len(l.open)
@@ -369,7 +392,8 @@
 			continue
 		}
 		t := l.open[i].ticket
-		e := End{Word: Unknown}
+		e := &l.yard.end
+		*e = End{Word: Unknown}
 		if w, ok := wordOf(words[1]); ok && (len(words) == 4 || w != Data && w != Unchanged) {
 			e.Word = w
 		}
@@ -380,7 +404,7 @@
 			e.Body = words[3]
 		}
 		l.remove(i)
-		l.yard.host.Ended(t, &e)
+		l.yard.host.Ended(t, e)
 		return
 	}
 }
@@ -417,23 +441,23 @@
 
 // Get is one request.
 type Get struct {
-	Case, Object string
-	ID           ID
-	Part         int
-	Budget       decide.Micros
-	Source       string // "": no fill
-	Rank         int
-	Oldest       decide.Micros // 0: the use case's own
-	Join, Held   bool
-	Renew        bool
-	Have         []byte // the client's copy
+	Case       string
+	ID, Object ID
+	Part       int
+	Budget     decide.Micros
+	Source     string // "": no fill
+	Rank       int
+	Oldest     decide.Micros // 0: the use case's own
+	Join, Held bool
+	Renew      bool
+	Have       []byte // the client's copy
 }
 
 // AppendGet writes a request up to its body, of the given length, which is to follow with a line's end. Spans are
 // cut to whole milliseconds, never to 0, which would mean something else.
 func AppendGet(b []byte, g *Get, body int, scratch []byte) ([]byte, []byte) {
 	f := append(append(scratch[:0], "queue="...), g.Case...)
-	f = append(append(f, ",path="...), g.Object...)
+	f = append(append(f, ",path="...), g.Object[:]...)
 	f = strconv.AppendInt(append(f, ",blk="...), int64(g.Part), 10)
 	f = strconv.AppendInt(append(f, ",budget="...), millis(g.Budget), 10)
 	if g.Source != "" {
