Tests against stand-ins for client, cache and bulletin; an example branch to try the router with

internal/standin speaks the protocols on loopback; the service's tests run the router whole against it: every kind of a trip's end in random order (one answer each, an order that may have run never again), large answers to a client, late answers, drains, a reused address, silent connections, leaving, bad input. Parsers run on random splits and garbage.

--- /dev/null
+++ b/example/toy/main.go
@@ -0,0 +1,70 @@
+// Command toy is a branch to try the router with: a bulletin, two caches, a parent and an origin on loopback, at the
+// addresses of example/config.json, and a client that asks for an object, has it purged and asks again.
+package main
+
+import (
+	"fmt"
+	"log"
+	"time"
+
+	"threadrun/internal/standin"
+)
+
+const (
+	router = "127.0.0.1:9090"
+	object = "7f3a9c21e0b4d655"
+)
+
+func main() {
+	board, err := standin.Post("127.0.0.1:7070")
+	if err != nil {
+		log.Fatal(err)
+	}
+	caches := map[string]*standin.Cache{}
+	var lines []string
+	for _, c := range []struct{ name, address, zone, kind string }{
+		{"cache-1", "127.0.0.1:9201", "branch", "cache"}, {"cache-2", "127.0.0.1:9202", "branch", "cache"},
+		{"parent", "127.0.0.1:9300", "hub", "parent"}, {"origin", "127.0.0.1:9400", "hub", "origin"},
+	} {
+		open, err := standin.Open(c.name, c.address)
+		if err != nil {
+			log.Fatal(err)
+		}
+		open.Origin = c.name == "origin"
+		open.Others = func(name string) *standin.Cache { return caches[name] }
+		caches[c.name] = open
+		lines = append(lines, standin.Line(c.name, c.address, c.zone, c.kind, "up", 0))
+	}
+	board.Roster(true, lines...)
+	fmt.Println("the branch is open; waiting for the router at", router)
+
+	var client *standin.Client
+	for ; client == nil; time.Sleep(200 * time.Millisecond) {
+		client, _ = standin.Connect(router)
+	}
+	trace := uint64(time.Now().UnixNano())
+	ask := func(what string) {
+		trace++
+		_, answer := client.Ask("page", standin.Visit(trace, object, 2*time.Second), nil)
+		select {
+		case a := <-answer:
+			fmt.Printf("%-18s error %q, body %q, tag %s\n", what, a.Error, a.Body, a.Fields["ver"])
+		case <-client.Ended():
+			log.Fatal("the router closed the connection")
+		}
+	}
+	ask("first, filled:")
+	time.Sleep(50 * time.Millisecond)
+	ask("again, a hit:")
+	board.Recall(object, time.Now())
+	fmt.Println("purged")
+	time.Sleep(100 * time.Millisecond)
+	ask("after the purge:")
+	for _, name := range []string{"cache-1", "cache-2"} {
+		for _, g := range caches[name].Gets() {
+			fmt.Println(name, "was asked:", g.Fields)
+		}
+	}
+	fmt.Println("the branch stays open; end it with an interrupt")
+	select {}
+}
--- a/internal/msgpack/msgpack.go
+++ b/internal/msgpack/msgpack.go
@@ -206,6 +206,9 @@
 	return n
 }
 
+// Truth reads true or false.
+func (r *Reader) Truth() bool { n, _ := r.take(Bool); return n == 1 }
+
 // Bytes reads a string or bytes, in place.
 func (r *Reader) Bytes() []byte {
 	k := r.Peek()
--- /dev/null
+++ b/internal/msgpack/msgpack_test.go
@@ -0,0 +1,135 @@
+package msgpack
+
+import (
+	"encoding/binary"
+	"errors"
+	"flag"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "20261201")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+// Every prefix of a message is short, the message itself is measured whole, whatever follows it.
+func TestSplits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b []byte
+		var value func(depth int)
+		value = func(depth int) {
+			kind := rapid.IntRange(0, 7).Draw(t, "kind")
+			if depth > 3 {
+				kind %= 5
+			}
+			switch kind {
+			case 0:
+				b = AppendNil(b)
+			case 1:
+				b = AppendUint(b, rapid.Uint64().Draw(t, "n"))
+			case 2:
+				b = AppendStr(b, rapid.StringN(0, 300, 400).Draw(t, "s"))
+			case 3:
+				bin := rapid.SliceOfN(rapid.Byte(), 0, 70000).Draw(t, "bin")
+				b = append(AppendBinHead(b, len(bin)), bin...)
+			case 4: // what the appenders never write: other widths, signed and floating numbers, extensions
+				forms := [][]byte{{0xd0, 0xff}, {0xd1, 1, 2}, {0xd2, 0, 0, 0, 1}, {0xcb, 1, 2, 3, 4, 5, 6, 7, 8}, {0xe0},
+					{0xca, 1, 2, 3, 4}, {0xd4, 1, 2}, {0xc7, 1, 5, 9}, {0xda, 0, 1, 'x'}, {0xdb, 0, 0, 0, 1, 'y'}, {0xc3},
+					{0xd3, 0, 0, 0, 0, 0, 0, 0, 9}, {0xc6, 0, 0, 0, 1, 7}, {0xdd, 0, 0, 0, 0}, {0xdf, 0, 0, 0, 0}}
+				b = append(b, rapid.SampledFrom(forms).Draw(t, "form")...)
+			case 5, 6:
+				n := rapid.IntRange(0, 20).Draw(t, "length")
+				b = AppendArray(b, n)
+				for ; n > 0; n-- {
+					value(depth + 1)
+				}
+			default:
+				n := rapid.IntRange(0, 4).Draw(t, "pairs")
+				b = AppendMap(b, n)
+				for ; n > 0; n-- {
+					value(depth + 1)
+					value(depth + 1)
+				}
+			}
+		}
+		value(0)
+		most := len(b)
+		cut := rapid.IntRange(0, most-1).Draw(t, "cut")
+		if _, err := Size(b[:cut], most); !errors.Is(err, ErrShort) {
+			t.Fatalf("first %d of %d bytes: %v", cut, most, err)
+		}
+		if n, err := Size(append(b, "more"...), most); n != most || err != nil {
+			t.Fatalf("measured %d of %d: %v", n, most, err)
+		}
+		if r := Read(b); true {
+			if r.Skip(); r.Err() != nil || len(r.b) != 0 {
+				t.Fatalf("skipped to %d left: %v", len(r.b), r.Err())
+			}
+		}
+		if most > 1 {
+			if _, err := Size(b, most-1); err == nil {
+				t.Fatal("no bound on the size")
+			}
+		}
+	})
+}
+
+// Garbage is never a panic, and never more than what is there.
+func TestGarbage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "bytes")
+		if n, err := Size(b, 1000); err == nil && (n < 1 || n > len(b)) {
+			t.Fatalf("measured %d of %d", n, len(b))
+		}
+		r := Read(b)
+		for i := 0; i < 5; i++ {
+			r.Array()
+			r.Uint()
+			r.Bytes()
+			r.Map()
+			r.Skip()
+		}
+	})
+	deep := make([]byte, 5000)
+	for i := range deep {
+		deep[i] = 0x91
+	}
+	if _, err := Size(deep, 1<<20); !errors.Is(err, ErrBound) {
+		t.Fatalf("nesting without bound: %v", err)
+	}
+	if _, err := Size([]byte{0xdd, 0xff, 0xff, 0xff, 0xff}, 1<<20); !errors.Is(err, ErrBound) {
+		t.Fatalf("counts without bound: %v", err)
+	}
+	if _, err := Size([]byte{0xc1}, 10); !errors.Is(err, ErrBroken) {
+		t.Fatalf("a byte that begins nothing: %v", err)
+	}
+}
+
+// Numbers and strings of all widths are read back.
+func TestWidths(t *testing.T) {
+	for _, n := range []uint64{0, 0x7f, 0x80, 0xff, 0x100, 0xffff, 0x10000, 0xffffffff, 0x100000000, 1<<64 - 1} {
+		r := Read(AppendUint(nil, n))
+		if got := r.Uint(); got != n || r.Err() != nil {
+			t.Errorf("%d read as %d: %v", n, got, r.Err())
+		}
+	}
+	r := Read(binary.BigEndian.AppendUint32([]byte{0xd2}, 77))
+	if n := r.Uint(); n != 77 || r.Err() != nil {
+		t.Errorf("a signed 77 read as %d: %v", n, r.Err())
+	}
+	if r = Read([]byte{0xff}); r.Uint() != 0 || !errors.Is(r.Err(), ErrKind) {
+		t.Error("-1 taken for an id")
+	}
+	for _, n := range []int{0, 31, 32, 255, 256, 65535, 65536} {
+		s := make([]byte, n)
+		r := Read(AppendStr(nil, s))
+		if got := r.Bytes(); len(got) != n || r.Err() != nil {
+			t.Errorf("a string of %d read as one of %d: %v", n, len(got), r.Err())
+		}
+		if r = Read(append(AppendBinHead(nil, n), s...)); len(r.Bytes()) != n || r.Err() != nil {
+			t.Errorf("%d bytes: %v", n, r.Err())
+		}
+	}
+}
--- /dev/null
+++ b/internal/resp/resp_test.go
@@ -0,0 +1,57 @@
+package resp
+
+import (
+	"errors"
+	"flag"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "20261201")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+// Every prefix of an array is short, the array itself gives its words back, whatever follows it.
+func TestSplits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		words := rapid.SliceOfN(rapid.SliceOfN(rapid.Byte(), 0, 3000), 1, 4).Draw(t, "words")
+		b := AppendArray(nil, len(words))
+		for _, w := range words {
+			b = AppendWord(b, w)
+		}
+		var got [4][]byte
+		cut := rapid.IntRange(0, len(b)-1).Draw(t, "cut")
+		if _, _, err := Parse(b[:cut], got[:], 3000); !errors.Is(err, ErrShort) {
+			t.Fatalf("first %d of %d bytes: %v", cut, len(b), err)
+		}
+		n, size, err := Parse(append(b, '*'), got[:], 3000)
+		if err != nil || n != len(words) || size != len(b) {
+			t.Fatalf("%d words, %d of %d bytes: %v", n, size, len(b), err)
+		}
+		for i, w := range words {
+			if string(got[i]) != string(w) {
+				t.Fatalf("word %d: %q for %q", i, got[i], w)
+			}
+		}
+	})
+}
+
+// Garbage is never a panic, and a broken beginning is told at once.
+func TestGarbage(t *testing.T) {
+	var got [4][]byte
+	rapid.Check(t, func(t *rapid.T) {
+		b := rapid.SliceOfN(rapid.SampledFrom([]byte("*$1230\r\n-ab")), 0, 40).Draw(t, "bytes")
+		if _, size, err := Parse(b, got[:], 100); err == nil && size > len(b) {
+			t.Fatalf("measured %d of %d", size, len(b))
+		}
+	})
+	for s, want := range map[string]error{"+OK\r\n": ErrBroken, "*-1\r\n": ErrBroken, "*5\r\n": ErrBound, "*0\r\n": ErrBound,
+		"*1\r\n$101\r\n": ErrBound, "*1\r\n$9999999999\r\n": ErrBroken, "*1\r\n$1\r\nabc": ErrBroken, "*1\n": ErrBroken,
+		"*1\r\n$\r\n": ErrBroken, "*1\r\n$2\r\nab\rx": ErrBroken} {
+		if _, _, err := Parse([]byte(s), got[:], 100); !errors.Is(err, want) {
+			t.Errorf("%q: %v, not %v", s, err, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/service/service_test.go
@@ -0,0 +1,530 @@
+package service
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"threadrun/decide"
+	"threadrun/internal/deployment"
+	"threadrun/internal/standin"
+	"threadrun/internal/trips"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "20261201")
+	_ = flag.Set("rapid.checks", "40")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+const long = 10 * time.Second // only a hang lasts so long
+
+// branch is a router among stand-ins: two caches, a parent, the origin.
+type branch struct {
+	t      testing.TB
+	board  *standin.Board
+	caches map[string]*standin.Cache
+	router *Running
+	door   string
+	client *standin.Client
+	log    *strings.Builder
+	mu     sync.Mutex
+	traces uint64
+}
+
+func (b *branch) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.log.Write(p)
+}
+
+func open(t testing.TB, answer func(c *standin.Cache, g *standin.Get) *standin.Reply) *branch {
+	t.Helper()
+	b := &branch{t: t, caches: map[string]*standin.Cache{}, log: &strings.Builder{}}
+	var err error
+	if b.board, err = standin.Post("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	var lines []string
+	for _, name := range []string{"edge-1", "edge-2", "parent", "origin"} {
+		c, err := standin.Open(name, "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Origin = name == "origin"
+		c.Others = func(name string) *standin.Cache { return b.caches[name] }
+		if answer != nil {
+			c.Answer = func(g *standin.Get) *standin.Reply { return answer(c, g) }
+		}
+		b.caches[name] = c
+		lines = append(lines, b.line(name, "up", 0))
+	}
+	b.board.Roster(true, lines...)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.door = l.Addr().String()
+	l.Close()
+	path, err := standin.Write(t.TempDir(), standin.Configuration(b.door, b.board))
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, err := deployment.Open(path, func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(b)
+	if b.router, err = Start(file, log); err != nil {
+		t.Fatal(err)
+	}
+	b.client = b.connect()
+	return b
+}
+
+func (b *branch) close() {
+	b.client.Close()
+	b.router.Stop()
+	for _, c := range b.caches {
+		c.Close(false)
+	}
+}
+
+func (b *branch) line(name, state string, boot int64) string {
+	zone, kind := "branch", "cache"
+	if name == "parent" || name == "origin" {
+		zone, kind = "hub", name
+	}
+	return standin.Line(name, b.caches[name].Address(), zone, kind, state, boot)
+}
+
+func (b *branch) connect() *standin.Client {
+	b.t.Helper()
+	c, err := standin.Connect(b.door)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return c
+}
+
+func (b *branch) wait(ch <-chan *standin.Answer) *standin.Answer {
+	b.t.Helper()
+	select {
+	case a := <-ch:
+		return a
+	case <-time.After(long):
+		b.t.Fatalf("no answer; log:\n%s", b.log)
+	}
+	return nil
+}
+
+func (b *branch) ask(method, object string, patience time.Duration, body []byte) <-chan *standin.Answer {
+	b.traces++
+	_, ch := b.client.Ask(method, standin.Visit(b.traces, object, patience), body)
+	return ch
+}
+
+func (b *branch) until(what string, f func() bool) {
+	b.t.Helper()
+	for end := time.Now().Add(long); !f(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			b.t.Fatalf("never: %s; log:\n%s", what, b.log)
+		}
+	}
+}
+
+func (b *branch) edges() []*standin.Get {
+	return append(b.caches["edge-1"].Gets(), b.caches["edge-2"].Gets()...)
+}
+
+const object = "00000000000000aa"
+
+func TestServes(t *testing.T) {
+	b := open(t, nil)
+	defer b.close()
+	_, ch := b.client.Ask("probe", nil, nil)
+	if a := b.wait(ch); !a.Truth {
+		t.Fatal("not ready")
+	}
+	first := b.wait(b.ask("page", object, time.Second, nil))
+	if first.Error != "" || !strings.HasPrefix(string(first.Body), object+"/0") {
+		t.Fatalf("%+v", first)
+	}
+	g := b.edges()[0]
+	for key, want := range map[string]string{"queue": "page", "path": object, "blk": "0", "src": "parent", "flags": "share+swr"} {
+		if g.Fields[key] != want {
+			t.Errorf("field %s is %q, not %q", key, g.Fields[key], want)
+		}
+	}
+	if ms, _ := strconv.Atoi(g.Fields["budget"]); ms < 1 || ms > 1000 || g.ID != fmt.Sprintf("%016x", 1) {
+		t.Errorf("id %s, budget %d", g.ID, ms)
+	}
+	b.traces++
+	f := standin.Visit(b.traces, object, time.Second)
+	f["ver"] = first.Fields["ver"]
+	_, ch = b.client.Ask("page", f, nil)
+	if a := b.wait(ch); a.Fields["unchanged"] != "1" || len(a.Body) > 0 {
+		t.Errorf("the client's own copy: %+v", a)
+	}
+	if a := b.wait(b.ask("order", object, time.Second, make([]byte, 48000))); string(a.Body) != "done" {
+		t.Errorf("a write: %+v", a)
+	}
+	// A purge: copies older than it will not do any more.
+	at := time.Now()
+	b.board.Recall(object, at)
+	b.until("the purge in a request", func() bool {
+		b.wait(b.ask("page", object, time.Second, nil))
+		gets := b.edges()
+		last := gets[0]
+		for _, g := range gets {
+			if g.ID == fmt.Sprintf("%016x", b.traces) {
+				last = g
+			}
+		}
+		ms, _ := strconv.Atoi(last.Fields["maxage"])
+		return ms >= 1 && time.Duration(ms)*time.Millisecond <= time.Since(at)
+	})
+	if a := b.wait(b.ask("page", object, time.Second, nil)); string(a.Body) == string(first.Body) {
+		t.Error("a copy older than the purge")
+	}
+}
+
+// Large answers come whole over a client that reads little at a time, beside small ones.
+func TestLargeAnswers(t *testing.T) {
+	b := open(t, func(_ *standin.Cache, g *standin.Get) *standin.Reply {
+		return &standin.Reply{Word: "data", Body: []byte(strings.Repeat(g.ID, 15000))}
+	})
+	defer b.close()
+	var chans []<-chan *standin.Answer
+	for i := 0; i < 30; i++ {
+		chans = append(chans, b.ask("page", fmt.Sprintf("%016x", i), 5*time.Second, nil))
+	}
+	for i, ch := range chans {
+		if a := b.wait(ch); string(a.Body) != strings.Repeat(fmt.Sprintf("%016x", i+1), 15000) {
+			t.Fatalf("answer %d: error %q, %d bytes", i, a.Error, len(a.Body))
+		}
+	}
+}
+
+// Whatever caches and connections do, each visit has one answer, and an order that may have run never runs again.
+func TestOneAnswer(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var mu sync.Mutex
+		script := rapid.SliceOfN(rapid.IntRange(0, 11), 0, 12).Draw(rt, "script")
+		ran := map[string]int{} // trips that may have run, by id
+		b := open(t, func(c *standin.Cache, g *standin.Get) *standin.Reply {
+			mu.Lock()
+			deed := 0
+			if len(script) > 0 {
+				deed, script = script[0], script[1:]
+			}
+			if deed != 1 && deed != 2 && deed != 3 {
+				ran[g.ID]++
+			}
+			mu.Unlock()
+			raw := func(s string) { _, _ = g.Conn.Write([]byte(s)) }
+			switch deed {
+			case 1:
+				return &standin.Reply{Word: "absent"}
+			case 2:
+				return &standin.Reply{Word: "full"}
+			case 3:
+				return &standin.Reply{Word: "moot"}
+			case 4:
+				return &standin.Reply{Word: "failed", Fields: "detail=src_broke"}
+			case 5, 6:
+				c.Cut(deed == 5)
+				return nil
+			case 7:
+				return nil // silence
+			case 8:
+				raw("*4\r\n$16\r\n" + g.ID + "\r\n$4\r\ndata\r\n$1\r\n-\r\n$100\r\nhalf")
+				c.Cut(true)
+				return nil
+			case 9:
+				raw("-ERR what\r\n")
+				return nil
+			case 10:
+				raw(standin.Array("0123456789abcdef", "data", "-", "nobody's") + standin.Array(g.ID, "what", "-", ""))
+				return nil
+			case 11:
+				raw(standin.Array(g.ID, "data", "-", g.ID))
+				return &standin.Reply{Word: "data", Body: []byte("a second time")}
+			}
+			return &standin.Reply{Word: "data", Body: []byte(g.ID)}
+		})
+		defer b.close()
+		var out []<-chan *standin.Answer
+		var orders []bool
+		for i := rapid.IntRange(1, 12).Draw(rt, "visits"); i > 0; i-- {
+			method, body := "page", []byte(nil)
+			if rapid.IntRange(0, 2).Draw(rt, "kind") == 0 {
+				method, body = "order", []byte("slot")
+			}
+			b.traces++
+			id, ch := b.client.Ask(method, standin.Visit(b.traces, fmt.Sprintf("%016x", b.traces), 120*time.Millisecond), body)
+			if rapid.IntRange(0, 9).Draw(rt, "leaves") == 0 {
+				b.client.GiveUp(id)
+				ch = nil
+			}
+			out, orders = append(out, ch), append(orders, body != nil)
+			if rapid.Bool().Draw(rt, "in turn") && ch != nil {
+				a := b.wait(ch)
+				again := make(chan *standin.Answer, 1)
+				again <- a
+				out[len(out)-1] = again
+			}
+		}
+		for i, ch := range out {
+			id := fmt.Sprintf("%016x", i+1)
+			a := &standin.Answer{}
+			if ch != nil {
+				a = b.wait(ch)
+				if a.Error != "" && a.Error != "Shed" && a.Error != "Fault" || a.Error == "" && string(a.Body) != id {
+					rt.Fatalf("visit %s: %+v", id, a)
+				}
+			}
+			mu.Lock()
+			n := ran[id]
+			mu.Unlock()
+			if orders[i] && (n > 1 || n > 0 && a.Error == "Shed") {
+				rt.Fatalf("an order ran %d times, answer %q", n, a.Error)
+			}
+		}
+		b.until("all is answered", func() (quiet bool) {
+			b.router.engine.Do(func() { quiet = b.router.rpc.Quiet() })
+			return quiet
+		})
+		if n := len(b.client.Extra); n > strings.Count(fmt.Sprint(out), "<nil>") { // an answer may cross the giving up
+			rt.Fatalf("%d answers too many", n)
+		}
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if strings.Contains(b.log.String(), "panic") {
+			rt.Fatalf("a panic:\n%s", b.log)
+		}
+	})
+}
+
+// A trip out of time is dropped at the cache, and what it says later is nobody's.
+func TestLateAnswer(t *testing.T) {
+	b := open(t, func(_ *standin.Cache, g *standin.Get) *standin.Reply {
+		if g.Fields["path"] == object {
+			time.Sleep(400 * time.Millisecond)
+		}
+		return &standin.Reply{Word: "data", Body: []byte(g.ID)}
+	})
+	defer b.close()
+	if a := b.wait(b.ask("page", object, 100*time.Millisecond, nil)); a.Error != "Fault" {
+		t.Fatalf("%+v", a)
+	}
+	id := fmt.Sprintf("%016x", b.traces)
+	b.until("a DROP", func() bool { return b.caches["edge-1"].Dropped(id)+b.caches["edge-2"].Dropped(id) == 1 })
+	if a := b.wait(b.ask("page", "00000000000000bb", 2*time.Second, nil)); string(a.Body) != fmt.Sprintf("%016x", b.traces) {
+		t.Errorf("%+v", a)
+	}
+	time.Sleep(500 * time.Millisecond)
+	if len(b.client.Extra) > 0 {
+		t.Errorf("a second answer: %+v", <-b.client.Extra)
+	}
+}
+
+// Nothing goes to a draining cache, nor to one that is gone; one in the place of another has its own connections.
+func TestDrains(t *testing.T) {
+	b := open(t, func(_ *standin.Cache, g *standin.Get) *standin.Reply { return &standin.Reply{Word: "data"} })
+	defer b.close()
+	for i := 0; i < 20; i++ {
+		b.wait(b.ask("page", fmt.Sprintf("%016x", i), time.Second, nil))
+	}
+	if len(b.caches["edge-1"].Gets()) == 0 || len(b.caches["edge-2"].Gets()) == 0 {
+		t.Fatal("the objects do not spread over the caches")
+	}
+	b.board.Roster(false, b.line("edge-1", "draining", 0))
+	b.until("the list of caches", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return strings.Contains(b.log.String(), "whole=false")
+	})
+	before := len(b.caches["edge-1"].Gets())
+	for i := 0; i < 20; i++ {
+		b.wait(b.ask("page", fmt.Sprintf("%016x", i), time.Second, nil))
+	}
+	if after := len(b.caches["edge-1"].Gets()); after != before {
+		t.Errorf("%d visits to a draining cache", after-before)
+	}
+	// Another cache at the address of the one that has gone.
+	b.caches["edge-3"] = b.caches["edge-1"]
+	b.board.Roster(false, b.line("edge-1", "removed", 0), b.line("edge-3", "up", 0))
+	b.until("a visit to the new cache", func() bool {
+		for i := 0; i < 20; i++ {
+			b.wait(b.ask("page", fmt.Sprintf("%016x", i), time.Second, nil))
+		}
+		return len(b.caches["edge-3"].Gets()) > before
+	})
+	conns := map[net.Conn]int{}
+	for i, g := range b.caches["edge-3"].Gets() {
+		if first, ok := conns[g.Conn]; ok && first < before && i >= before {
+			t.Fatal("a visit to the new cache on a connection of the old one")
+		} else if !ok {
+			conns[g.Conn] = i
+		}
+	}
+}
+
+// A connection that has fallen silent is found out while nothing depends on it, and new ones are made.
+func TestSilentConnection(t *testing.T) {
+	b := open(t, func(_ *standin.Cache, g *standin.Get) *standin.Reply { return &standin.Reply{Word: "data"} })
+	defer b.close()
+	b.wait(b.ask("page", object, time.Second, nil))
+	g := b.edges()[0]
+	for _, c := range b.caches {
+		c.Silence(true)
+	}
+	b.until("silent connections let go", func() bool {
+		n := 0
+		b.router.engine.Do(func() { n = b.router.desk.yard.Open() })
+		return n == 0
+	})
+	for _, c := range b.caches {
+		c.Silence(false)
+	}
+	if a := b.wait(b.ask("page", object, time.Second, nil)); a.Error != "" {
+		t.Fatalf("%+v", a)
+	}
+	if gets := b.edges(); gets[len(gets)-1].Conn == g.Conn {
+		t.Error("the silent connection again")
+	}
+}
+
+// The word to end: what has come is answered, what still comes too, and only then is it over.
+func TestLeave(t *testing.T) {
+	b := open(t, func(_ *standin.Cache, g *standin.Get) *standin.Reply {
+		time.Sleep(300 * time.Millisecond)
+		return &standin.Reply{Word: "data", Body: []byte(strings.Repeat("x", 200000))}
+	})
+	defer b.close()
+	chans := []<-chan *standin.Answer{b.ask("page", object, 2*time.Second, nil)}
+	left := make(chan struct{})
+	go func() {
+		b.router.Leave()
+		close(left)
+	}()
+	b.until("leaving", func() bool {
+		_, ch := b.client.Ask("probe", nil, nil)
+		return !b.wait(ch).Truth
+	})
+	late := b.connect()
+	defer late.Close()
+	_, ch := late.Ask("page", standin.Visit(999, object, 2*time.Second), nil)
+	for _, ch := range append(chans, ch) {
+		if a := b.wait(ch); len(a.Body) != 200000 {
+			t.Errorf("error %q, %d bytes", a.Error, len(a.Body))
+		}
+	}
+	select {
+	case <-left:
+	case <-time.After(long):
+		t.Fatal("never left")
+	}
+}
+
+// Bad input costs its own request, or at worst its own connection, and no trip.
+func TestBadInput(t *testing.T) {
+	b := open(t, func(_ *standin.Cache, g *standin.Get) *standin.Reply { return &standin.Reply{Word: "data"} })
+	defer b.close()
+	good := standin.Visit(1, object, time.Second)
+	for name, spoil := range map[string]func(f map[string]string){
+		"trace": func(f map[string]string) { delete(f, "trace") }, "a short trace": func(f map[string]string) { f["trace"] = "12" },
+		"line ends":  func(f map[string]string) { f["entity"] = "0000000000\r\n$1\r\n" },
+		"piece":      func(f map[string]string) { f["piece"] = "-1" },
+		"lot":        func(f map[string]string) { f["lot"] = "256" },
+		"size":       func(f map[string]string) { f["size"] = "NaN" },
+		"patience":   func(f map[string]string) { f["patience"] = "soon" },
+		"a tag":      func(f map[string]string) { f["ver"] = "a,src=evil" },
+		"no time":    func(f map[string]string) { f["patience"] = "0" },
+		"less of it": func(f map[string]string) { f["patience"] = "-5" },
+	} {
+		f := map[string]string{}
+		for k, v := range good {
+			f[k] = v
+		}
+		spoil(f)
+		_, ch := b.client.Ask("page", f, nil)
+		if a := b.wait(ch); a.Error != "Fault" {
+			t.Errorf("%s: %+v", name, a)
+		}
+	}
+	_, ch := b.client.Ask("cook", good, nil)
+	if a := b.wait(ch); a.Error != "Fault" {
+		t.Errorf("an unknown method: %+v", a)
+	}
+	_, ch = b.client.Ask("order", good, make([]byte, 48001))
+	if a := b.wait(ch); a.Error != "Fault" {
+		t.Errorf("too large a body: %+v", a)
+	}
+	if n := len(b.edges()); n > 0 {
+		t.Errorf("%d trips", n)
+	}
+	twice := append(standin.Request(1, "page", good, nil), standin.Request(1, "page", good, nil)...)
+	for name, raw := range map[string]string{"no message": "\x05", "text": "GET / HTTP/1.1\r\n\r\n", "a length": "\x94\x00\x01\xdb\xff\xff\xff\xff",
+		"nesting": strings.Repeat("\x91", 100), "an id that is open": string(twice)} {
+		c := b.connect()
+		c.Write([]byte(raw))
+		select {
+		case <-c.Ended():
+		case <-time.After(long):
+			t.Errorf("%s: the connection lives", name)
+		}
+	}
+	if a := b.wait(b.ask("page", object, time.Second, nil)); a.Error != "" {
+		t.Errorf("after all that: %+v", a)
+	}
+}
+
+// What proves that a visit did not run, and what does not.
+func TestEndings(t *testing.T) {
+	fault := func(r trips.Reach) *trips.End { return &trips.End{Fault: &trips.Fault{Reach: r, Err: io.EOF}} }
+	for _, c := range []struct {
+		end  *trips.End
+		want decide.Ending
+	}{
+		{fault(trips.Unconnected), decide.NoRoute}, {fault(trips.Unsent), decide.NeverSent},
+		{fault(trips.PartSent), decide.NeverSent}, {fault(trips.Sent), decide.Broken},
+		{fault(trips.Answering), decide.Broken}, {&trips.End{Word: trips.Moot}, decide.NeverSent},
+		{&trips.End{Word: trips.Unknown}, decide.Failed}, {&trips.End{Word: trips.Full}, decide.Refused},
+		{&trips.End{Word: trips.Absent}, decide.Lacking}, {&trips.End{Word: trips.Unchanged}, decide.Delivered},
+	} {
+		if got := ending(c.end); got != c.want {
+			t.Errorf("%+v ends as %d, not %d", c.end, got, c.want)
+		}
+	}
+	if silence(trips.PartSent) != decide.NeverSent || silence(trips.Sent) != decide.TooSlow {
+		t.Error("silence")
+	}
+}
+
+func TestAlarms(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h alarms
+		for _, at := range rapid.SliceOf(rapid.IntRange(0, 50)).Draw(t, "alarms") {
+			h.push(alarm{at: decide.Micros(at)})
+		}
+		for last := decide.Micros(-1); len(h) > 0; {
+			a := h.pop()
+			if a.at < last {
+				t.Fatalf("%d after %d", a.at, last)
+			}
+			last = a.at
+		}
+	})
+}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -3,6 +3,7 @@
 package sockets
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -137,12 +138,15 @@
 	c.owner = accept(c)
 }
 
-// Stop ends the poller and all connections.
+// Stop ends the poller and all connections. The poller may wait for one that came as it stopped: it is given a
+// moment, no more.
 func (e *Engine) Stop() {
 	if e.door != nil {
 		_ = e.door.Close()
 	}
-	e.nb.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	_ = e.nb.Shutdown(ctx)
 }
 
 // Do runs f under the lock, as a callback.
--- a/internal/trips/trips.go
+++ b/internal/trips/trips.go
@@ -177,6 +177,9 @@
 	}
 }
 
+// Open counts the connections.
+func (y *Yard) Open() int { return y.open }
+
 // Send sets a request out. Where there is no way out at all, its end is told within the call.
 func (y *Yard) Send(t Ticket, c decide.CacheID, id ID, head, body []byte) {
 	if int(c) >= len(y.pools) || y.pools[c] == nil {
