A trip given up half sent proves nothing unless its connection is closed first

Seen by reading and confirmed by a test that failed before: Drop told NeverSent of a request whose bytes still waited in the queue of a connection that other trips kept alive; they went out later, so a one-shot visit could have run twice. Wrong lines: the reach in Yard.Drop was measured, and the connection left open. Now a connection with no other trip is closed first and measured then; on one that lives on the request counts as sent. Numbers that the front gives the service are its own: a client's id that comes again can't take the answer of a visit that was given up.

--- /dev/null
+++ b/cmd/threadrun/main_test.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"threadrun/internal/standin"
+)
+
+// TestMain lets the test's own program stand for the router.
+func TestMain(m *testing.M) {
+	if os.Getenv("THREADRUN_TEST_RUN") != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+func router(config string) *exec.Cmd {
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), "THREADRUN_TEST_RUN=1", "RELAY_NAME=", "RELAY_LISTEN=", "RELAY_CONFIG="+config)
+	return c
+}
+
+// Killed outright and started again under the same address, it serves; told to end, it answers and exits with 0.
+func TestRestarts(t *testing.T) {
+	board, err := standin.Post("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cache, err := standin.Open("edge", "127.0.0.1:0", func(c *standin.Cache) {
+		c.Answer = func(*standin.Get) *standin.Reply {
+			time.Sleep(100 * time.Millisecond)
+			return &standin.Reply{Word: "data", Body: []byte("here")}
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	board.Roster(true, standin.Line("edge", cache.Address(), "branch", "cache", "up", 0))
+	free, err := standin.Open("free", "127.0.0.1:0", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	door := free.Address()
+	free.Close(false)
+	path, err := standin.Write(t.TempDir(), standin.Configuration(door, board))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, signal := range []os.Signal{syscall.SIGKILL, syscall.SIGTERM} {
+		c := router(path)
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
+		var client *standin.Client
+		for i := 0; client == nil; i++ {
+			if client, err = standin.Connect(door); err != nil && i > 2000 {
+				_ = c.Process.Kill()
+				t.Fatal(err)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		_, first := client.Ask("page", standin.Visit(1, "00000000000000aa", 2*time.Second), nil)
+		a := <-first
+		_, second := client.Ask("page", standin.Visit(2, "00000000000000bb", 2*time.Second), nil)
+		_ = c.Process.Signal(signal)
+		if string(a.Body) != "here" {
+			t.Errorf("%+v", a)
+		}
+		if signal == syscall.SIGTERM {
+			if a := <-second; string(a.Body) != "here" {
+				t.Errorf("while leaving: %+v", a)
+			}
+		}
+		if err := c.Wait(); (err == nil) != (signal == syscall.SIGTERM) {
+			t.Errorf("after %v: %v", signal, err)
+		}
+		client.Close()
+	}
+}
+
+// A bad configuration is one line and a non-zero exit.
+func TestBadConfiguration(t *testing.T) {
+	path, err := standin.Write(t.TempDir(), `{"listen":"127.0.0.1:0","bulletin":"127.0.0.1:1","known":{},"settings":{}}`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := router(path).CombinedOutput()
+	if err == nil || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), "'seed'") {
+		t.Errorf("%v: %q", err, out)
+	}
+}
--- a/example/toy/main.go
+++ b/example/toy/main.go
@@ -26,12 +26,13 @@
 		{"cache-1", "127.0.0.1:9201", "branch", "cache"}, {"cache-2", "127.0.0.1:9202", "branch", "cache"},
 		{"parent", "127.0.0.1:9300", "hub", "parent"}, {"origin", "127.0.0.1:9400", "hub", "origin"},
 	} {
-		open, err := standin.Open(c.name, c.address)
+		open, err := standin.Open(c.name, c.address, func(cache *standin.Cache) {
+			cache.Origin = c.name == "origin"
+			cache.Others = func(name string) *standin.Cache { return caches[name] }
+		})
 		if err != nil {
 			log.Fatal(err)
 		}
-		open.Origin = c.name == "origin"
-		open.Others = func(name string) *standin.Cache { return caches[name] }
 		caches[c.name] = open
 		lines = append(lines, standin.Line(c.name, c.address, c.zone, c.kind, "up", 0))
 	}
--- /dev/null
+++ b/internal/deployment/deployment_test.go
@@ -0,0 +1,67 @@
+package deployment
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"threadrun/internal/standin"
+)
+
+// A fault names its file and its key, before anything is opened.
+func TestFaults(t *testing.T) {
+	board, err := standin.Post("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := standin.Configuration("127.0.0.1:0", board)
+	read := func(text string) error {
+		path, err := standin.Write(t.TempDir(), text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f, err := Open(path, func(string) string { return "" })
+		if err != nil {
+			return err
+		}
+		if _, _, _, err = f.Limits(); err != nil {
+			return err
+		}
+		if _, _, _, _, _, err = f.Pools(); err != nil {
+			return err
+		}
+		if _, _, err = f.Polls(); err != nil {
+			return err
+		}
+		if _, _, _, err = Connections(f.Site); err != nil {
+			return f.Fault(err)
+		}
+		_, _, err = Site(f.Site, f.Seed, nil)
+		return f.Fault(err)
+	}
+	if err := read(good); err != nil {
+		t.Fatalf("a good one: %v", err)
+	}
+	for _, c := range []struct{ old, with, key string }{
+		{`"listen":"127.0.0.1:0"`, `"listen":"nowhere"`, "'listen'"}, {`"seed":"5eed"`, `"seed":5`, "'seed'"},
+		{`"bulletin"`, `"board"`, "'bulletin'"}, {`"settings"`, `"setting"`, "'settings'"}, {`"known"`, `"now"`, "'known'"},
+		{`"sockets":512`, `"sockets":3`, "'limits.sockets'"}, {`"wait_ms":400`, `"wait_ms":"long"`, "'polls.wait_ms'"},
+		{`"connect_timeout":300`, `"connect_timeout":0`, "'limits.connect_timeout'"},
+		{`"aim":300`, `"aim":"soon"`, "'lanes[0].aim'"}, {`"aim":300,"deadline"`, `"deadline"`, "'lanes[1].aim'"},
+		{`"effect":"non_idempotent"`, `"effect":"odd"`, "'lanes[1].effect'"}, {`"name":"order"`, `"name":"a,b"`, "'lanes[1].name'"},
+		{`"az":"branch"`, `"az":"moon"`, "'az'"}, {`"direct":false`, `"direct":1`, "'extra.direct'"},
+		{`"kinds":[`, `"kind":[`, "'kinds'"}, {`"send_cap":6`, `"send_cap":-1`, "'limits.send_cap'"}, {`}`, ``, "parse"},
+	} {
+		err := read(strings.Replace(good, c.old, c.with, 1))
+		if err == nil || !strings.Contains(err.Error(), c.key) || !strings.Contains(err.Error(), "config.json") ||
+			strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s for %s: %v", c.with, c.old, err)
+		}
+	}
+	if _, err := Open("", os.Getenv); err == nil {
+		t.Error("no file at all")
+	}
+	if _, err := Open(t.TempDir()+"/none", os.Getenv); err == nil {
+		t.Error("a file that is not there")
+	}
+}
--- a/internal/front/rpc.go
+++ b/internal/front/rpc.go
@@ -111,6 +111,7 @@
 	conn  *sockets.Conn
 	in    []byte
 	open  []asked
+	last  uint64    // number given to a request
 	used  time.Time // last request
 	moved time.Time // last time that the client read, or had nothing to read
 	sent  int64
@@ -125,7 +126,8 @@
 }
 
 type asked struct {
-	id    uint64
+	id    uint64 // the client's; it may come again once it is answered
+	no    uint64 // ours, never the same twice on a connection
 	visit decide.VisitID
 }
 
@@ -238,9 +240,10 @@
 		c.refuse(id, err)
 		return nil
 	}
-	c.open = append(c.open, asked{id: id})
+	c.last++
+	c.open = append(c.open, asked{id: id, no: c.last})
 	c.front.owed++
-	c.front.visits.Arrive(c, id, ask)
+	c.front.visits.Arrive(c, c.last, ask)
 	return nil
 }
 
@@ -360,10 +363,10 @@
 	}
 }
 
-// Assigned ties the router's name for a visit to the client's id.
-func (c *caller) Assigned(id uint64, v decide.VisitID) {
+// Assigned ties the router's name for a visit to its request.
+func (c *caller) Assigned(no uint64, v decide.VisitID) {
 	for i := range c.open {
-		if c.open[i].id == id {
+		if c.open[i].no == no {
 			c.open[i].visit = v
 		}
 	}
@@ -375,20 +378,22 @@
 	c.front.owed--
 }
 
-// answers tells whether a request is still owed its answer, and takes it off the list.
-func (c *caller) answers(id uint64) bool {
+// answers finds the client's id of a request that is still owed its answer, and takes it off the list.
+func (c *caller) answers(no uint64) (id uint64, owed bool) {
 	for i := range c.open {
-		if c.open[i].id == id {
+		if c.open[i].no == no {
+			id = c.open[i].id
 			c.drop(i)
-			return true
+			return id, true
 		}
 	}
-	return false
+	return 0, false
 }
 
 // Deliver passes a whole answer on.
-func (c *caller) Deliver(id uint64, tag, body []byte, unchanged bool) {
-	if !c.answers(id) {
+func (c *caller) Deliver(no uint64, tag, body []byte, unchanged bool) {
+	id, owed := c.answers(no)
+	if !owed {
 		return
 	}
 	f := c.front
@@ -412,15 +417,15 @@
 }
 
 // Defer tells the client that trying again is harmless.
-func (c *caller) Defer(id uint64) {
-	if c.answers(id) {
+func (c *caller) Defer(no uint64) {
+	if id, owed := c.answers(no); owed {
 		c.fault(id, "Shed", "")
 	}
 }
 
 // Scrap tells the client that the visit failed, and promises nothing.
-func (c *caller) Scrap(id uint64) {
-	if c.answers(id) {
+func (c *caller) Scrap(no uint64) {
+	if id, owed := c.answers(no); owed {
 		c.fault(id, "Fault", "")
 	}
 }
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -56,15 +56,16 @@
 	}
 	var lines []string
 	for _, name := range []string{"edge-1", "edge-2", "parent", "origin"} {
-		c, err := standin.Open(name, "127.0.0.1:0")
+		c, err := standin.Open(name, "127.0.0.1:0", func(c *standin.Cache) {
+			c.Origin = name == "origin"
+			c.Others = func(name string) *standin.Cache { return b.caches[name] }
+			if answer != nil {
+				c.Answer = func(g *standin.Get) *standin.Reply { return answer(c, g) }
+			}
+		})
 		if err != nil {
 			t.Fatal(err)
 		}
-		c.Origin = name == "origin"
-		c.Others = func(name string) *standin.Cache { return b.caches[name] }
-		if answer != nil {
-			c.Answer = func(g *standin.Get) *standin.Reply { return answer(c, g) }
-		}
 		b.caches[name] = c
 		lines = append(lines, b.line(name, "up", 0))
 	}
--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -29,7 +29,7 @@
 }
 
 // Cache is a toy cache, parent or origin. With Answer set, that makes the answers; without, it keeps objects and
-// fills misses from the source that a request names.
+// fills misses from the source that a request names, found by Others.
 type Cache struct {
 	Name   string
 	Answer func(*Get) *Reply // nil: says nothing
@@ -52,13 +52,16 @@
 	tag  string
 }
 
-// Open starts a cache at an address; port 0 takes any.
-func Open(name, address string) (*Cache, error) {
+// Open starts a cache at an address; port 0 takes any. Shape, if not nil, sets it up before anyone comes.
+func Open(name, address string, shape func(*Cache)) (*Cache, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	c := &Cache{Name: name, door: l, dropped: map[string]int{}, conns: map[net.Conn]bool{}, kept: map[string]copied{}}
+	if shape != nil {
+		shape(c)
+	}
 	go func() {
 		for {
 			conn, err := l.Accept()
--- a/internal/trips/trips.go
+++ b/internal/trips/trips.go
@@ -266,7 +266,7 @@
 	return false
 }
 
-// Drop gives a trip up and tells how far it had come; nothing more is heard of it.
+// Drop gives a trip up and tells how far it has come, for good; nothing more is heard of it.
 func (y *Yard) Drop(t Ticket, c decide.CacheID) Reach {
 	if int(c) >= len(y.pools) || y.pools[c] == nil {
 		return Unconnected
@@ -277,16 +277,15 @@
 				continue
 			}
 			o := l.open[i]
-			reach := l.reach(&o)
 			l.remove(i)
-			if !l.conn.Up() && len(l.open) == 0 { // the request must not set out once the connection stands
+			if len(l.open) == 0 && l.conn.Sent() < o.end {
+				// Closed first, measured then: what waits here must neither follow later nor slip out meanwhile.
 				l.shut()
-				return reach
+				return l.reach(&o)
 			}
+			reach := max(l.reach(&o), Sent) // on a connection that lives on, its bytes still go out
 			l.given = append(l.given, o.id)
-			if l.conn.Queued()-l.conn.Sent() > 0 && reach < Sent || len(l.given) >= givenMost {
-				l.closed = true
-			}
+			l.closed = l.closed || len(l.given) >= givenMost
 			l.conn.Send(resp.AppendWord(resp.AppendWord(resp.AppendArray(nil, 2), "DROP"), o.id[:]))
 			l.rest()
 			return reach
--- /dev/null
+++ b/internal/trips/trips_test.go
@@ -0,0 +1,152 @@
+package trips
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"threadrun/decide"
+	"threadrun/internal/sockets"
+	"threadrun/internal/standin"
+)
+
+type host map[Ticket]End
+
+func (h host) Ended(t Ticket, e *End) { h[t] = *e }
+
+func id(n byte) (d ID) {
+	copy(d[:], "000000000000000")
+	d[15] = '0' + n
+	return d
+}
+
+func yard(t *testing.T, h Host, each int) (*sockets.Engine, *Yard) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	e, err := sockets.New(log, 256)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Stop)
+	return e, New(e, log, h, 4, each, 8, time.Second, time.Minute, time.Minute)
+}
+
+func request(n byte, size int) ([]byte, []byte) {
+	head, _ := AppendGet(nil, &Get{Case: "order", ID: id(n), Object: id(0), Budget: 1}, size, nil)
+	return head, make([]byte, size)
+}
+
+// Of a request that is given up while some of it still waits here, it is proved that it can't arrive, or it counts
+// as sent: bytes in the queue of a connection that lives on do go out.
+func TestDropBehindOthers(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	h := host{}
+	e, y := yard(t, h, 1)
+	huge := 64 << 20
+	first, second := Ticket{Trip: 1}, Ticket{Trip: 2}
+	e.Do(func() {
+		y.Place(0, l.Addr().String(), false)
+		head, body := request(1, huge)
+		y.Send(first, 0, id(1), head, body)
+		head, body = request(2, 5)
+		y.Send(second, 0, id(2), head, body)
+	})
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := bufio.NewReader(conn)
+	if _, err := r.Peek(1); err != nil { // it stands
+		t.Fatal(err)
+	}
+	e.Do(func() {
+		if reach := y.Drop(second, 0); reach != Sent {
+			t.Errorf("behind another request: %s", reaches[reach])
+		}
+		if reach := y.Drop(first, 0); reach != PartSent || y.Open() != 0 {
+			t.Errorf("alone and half sent: %s, %d connections", reaches[reach], y.Open())
+		}
+	})
+	if words, err := standin.ReadArray(r); err == nil {
+		t.Errorf("a whole request arrived: %.3q", words)
+	}
+	e.Do(func() { // a connection that does not stand yet: nothing may set out later
+		y.Place(1, "127.0.0.1:1", false)
+		head, body := request(3, 5)
+		y.Send(Ticket{Trip: 3}, 1, id(3), head, body)
+		if reach := y.Drop(Ticket{Trip: 3}, 1); reach != Unconnected || y.Open() != 0 {
+			t.Errorf("unconnected: %s, %d connections", reaches[reach], y.Open())
+		}
+	})
+	if len(h) > 0 {
+		t.Errorf("told of trips that were given up: %v", h)
+	}
+}
+
+// A full yard lets an idle connection go for a cache that has none; an id never goes twice over one connection.
+func TestPicking(t *testing.T) {
+	h := host{}
+	e, y := yard(t, h, 2)
+	var caches []*standin.Cache
+	for i := 0; i < 5; i++ {
+		c, err := standin.Open("c", "127.0.0.1:0", func(c *standin.Cache) {
+			c.Answer = func(*standin.Get) *standin.Reply { return &standin.Reply{Word: "data", Fields: "detail=hit"} }
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		caches = append(caches, c)
+	}
+	ended := func(n int) {
+		t.Helper()
+		for i := 0; ; i++ {
+			done := false
+			if e.Do(func() { done = len(h) == n }); done {
+				return
+			}
+			if i > 5000 {
+				t.Fatalf("%d of %d ended", len(h), n)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	for i, c := range caches {
+		e.Do(func() {
+			y.Place(decide.CacheID(i), c.Address(), false)
+			head, body := request(byte(i), 0)
+			y.Send(Ticket{Trip: 10}, decide.CacheID(i), id(byte(i)), head, body)
+			delete(h, Ticket{Trip: 10})
+		})
+		ended(1)
+		e.Do(func() {
+			end := h[Ticket{Trip: 10}]
+			if end.Word != Data || y.Open() > 4 {
+				t.Errorf("cache %d: %+v, %d connections", i, end.Fault, y.Open())
+			}
+		})
+	}
+	e.Do(func() {
+		clear(h)
+		head, body := request(7, 0)
+		y.Send(Ticket{Trip: 1}, 4, id(7), head, body)
+		y.Drop(Ticket{Trip: 1}, 4)
+		y.Send(Ticket{Trip: 2}, 4, id(7), head, body)
+	})
+	ended(1)
+	gets := caches[4].Gets()
+	for i, g := range gets {
+		for _, o := range gets[:i] {
+			if g.ID == o.ID && g.Conn == o.Conn {
+				t.Error("one id twice on a connection")
+			}
+		}
+	}
+}
