Newcomers get in when idle connections fill the house; one inbox for unfinished messages

Seen: a test with a bound of six client connections and twenty idle ones never let a newcomer in. The engine's bound was the front's own plus an eighth, which is none of a small bound, so the front never saw whom to make room for. Now it is some more. Clients' and caches' connections share one inbox for what has not come whole. The list of caches is logged with uids, since the module's lines name caches by number. A deaf client is cut off at its bound, tested.

--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -71,13 +71,11 @@
 	in      []byte
 	parser  fastjson.Parser
 	gaps    int
-	skipped map[int64]bool
 }
 
 // New makes a poll that has seen nothing yet.
 func New(e *sockets.Engine, log *logrus.Logger, r Reader, address string, wait, slack time.Duration) *Poll {
-	return &Poll{engine: e, log: log, reader: r, address: address, wait: wait, slack: slack, pause: pauseFirst,
-		skipped: map[int64]bool{}}
+	return &Poll{engine: e, log: log, reader: r, address: address, wait: wait, slack: slack, pause: pauseFirst}
 }
 
 // Known takes the events of the start.
@@ -202,8 +200,7 @@
 			return nil
 		}
 		p.gaps = 0
-		if err := p.apply(item); err != nil && !p.skipped[n] {
-			p.skipped[n] = true
+		if err := p.apply(item); err != nil {
 			p.log.WithError(err).WithField("no", n).Warn("bulletin: item skipped")
 		}
 		p.last = n
--- a/internal/front/rpc.go
+++ b/internal/front/rpc.go
@@ -109,7 +109,7 @@
 type caller struct {
 	front *RPC
 	conn  *sockets.Conn
-	in    []byte
+	in    sockets.Inbox
 	open  []asked
 	last  uint64    // number given to a request
 	used  time.Time // last request
@@ -160,41 +160,29 @@
 // Data takes requests, whole ones in place.
 func (c *caller) Data(b []byte) error {
 	c.used = time.Now()
-	held := len(c.in) > 0
-	c.front.held -= len(c.in)
-	defer func() { c.front.held += len(c.in) }()
-	if held {
-		c.in = c.front.engine.Gather(c.in, b)
-		b = c.in
-	}
-	for len(b) > 0 {
-		n, err := msgpack.Size(b, messageMost)
-		if errors.Is(err, msgpack.ErrShort) && len(b) < messageMost {
-			break
-		}
-		if err != nil {
-			return err
-		}
-		if err := c.message(b[:n]); err != nil {
-			return err
-		}
-		b = b[n:]
+	c.front.held -= c.in.Len()
+	defer func() { c.front.held += c.in.Len() }()
+	if err := c.in.Take(c.front.engine, b, c); err != nil {
+		return err
 	}
-	switch {
-	case len(b) == 0:
-		c.front.engine.Done(c.in)
-		c.in = nil
-	case held:
-		c.in = c.in[:copy(c.in, b)]
-	default:
-		c.in = c.front.engine.Gather(nil, b)
-	}
-	if len(c.in) > spareOf && c.front.held+len(c.in) > heldMost { // wards off a flood of halves of large requests
+	if n := c.in.Len(); n > spareOf && c.front.held+n > heldMost { // wards off a flood of halves of large requests
 		return errHeld
 	}
 	return nil
 }
 
+// Next reads the message that b begins with.
+func (c *caller) Next(b []byte) (int, error) {
+	n, err := msgpack.Size(b, messageMost)
+	if errors.Is(err, msgpack.ErrShort) && len(b) < messageMost {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	return n, c.message(b[:n])
+}
+
 func (c *caller) message(b []byte) error {
 	r := msgpack.Read(b)
 	n := r.Array()
@@ -349,9 +337,8 @@
 // Closed ends what is owed on a connection that is gone.
 func (c *caller) Closed(err error) {
 	delete(c.front.conns, c)
-	c.front.held -= len(c.in)
-	c.front.engine.Done(c.in)
-	c.in = nil
+	c.front.held -= c.in.Len()
+	c.in.Drop(c.front.engine)
 	if !errors.Is(err, errIdle) && !errors.Is(err, errCrowded) && sockets.Ours(err) {
 		c.front.log.WithError(err).WithField("client", c.conn).Warn("front: connection closed")
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -365,6 +365,8 @@
 			id = decide.CacheID(len(s.listed))
 			s.caches[x.Name] = id
 			s.listed = append(s.listed, cache{name: x.Name})
+			s.log.WithFields(logrus.Fields{"cache": id, "uid": x.Name, "endpoint": x.Address, "kind": x.Kind}).
+				Info("cache listed")
 		}
 		c := &s.listed[id]
 		anew := c.boot != x.Started
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -47,7 +47,7 @@
 	return b.log.Write(p)
 }
 
-func open(t testing.TB, answer func(c *standin.Cache, g *standin.Get) *standin.Reply) *branch {
+func open(t testing.TB, answer func(c *standin.Cache, g *standin.Get) *standin.Reply, more ...string) *branch {
 	t.Helper()
 	b := &branch{t: t, caches: map[string]*standin.Cache{}, log: &strings.Builder{}}
 	var err error
@@ -76,7 +76,11 @@
 	}
 	b.door = l.Addr().String()
 	l.Close()
-	path, err := standin.Write(t.TempDir(), standin.Configuration(b.door, b.board))
+	text := standin.Configuration(b.door, b.board)
+	for _, m := range more {
+		text = strings.Replace(text, "{", "{"+m+",", 1)
+	}
+	path, err := standin.Write(t.TempDir(), text)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -407,6 +411,52 @@
 	}
 }
 
+// A client that does not read is cut off before it fills the memory; idle connections make room; others are served.
+func TestFlood(t *testing.T) {
+	b := open(t, func(_ *standin.Cache, g *standin.Get) *standin.Reply {
+		return &standin.Reply{Word: "data", Body: make([]byte, 240_000)}
+	}, `"pools":{"clients":6,"unread_bytes":1000000}`)
+	defer b.close()
+	deaf, err := net.Dial("tcp", b.door)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer deaf.Close()
+	_ = deaf.(*net.TCPConn).SetReadBuffer(4096)
+	for i := uint64(1); i <= 60; i++ {
+		if _, err := deaf.Write(standin.Request(i, "page", standin.Visit(1000+i, object, 2*time.Second), nil)); err != nil {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	b.until("the deaf client cut off", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return strings.Contains(b.log.String(), "left unread")
+	})
+	for i := 0; i < 20; i++ {
+		c, err := net.Dial("tcp", b.door)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	b.until("room for a newcomer", func() bool {
+		c, err := standin.Connect(b.door)
+		if err != nil {
+			return false
+		}
+		defer c.Close()
+		_, ch := c.Ask("page", standin.Visit(1, object, 2*time.Second), nil)
+		select {
+		case a := <-ch:
+			return len(a.Body) == 240_000
+		case <-c.Ended():
+			return false
+		}
+	})
+}
+
 // The word to end: what has come is answered, what still comes too, and only then is it over.
 func TestLeave(t *testing.T) {
 	b := open(t, func(_ *standin.Cache, g *standin.Get) *standin.Reply {
--- a/internal/service/start.go
+++ b/internal/service/start.go
@@ -26,7 +26,8 @@
 	serveOn   = 800 * time.Millisecond // clients go on coming for a while after the word to end
 	quietFor  = 40 * time.Millisecond  // all answered for so long
 	askAfter  = time.Second            // a cache that has said nothing for so long is asked whether it is there
-	idleShare = 5                      // idle connections are closed this part of the time before the other side does
+	doorway   = 4
+	idleShare = 5 // idle connections are closed this part of the time before the other side does
 )
 
 // Start makes a router of its parts and opens its doors.
@@ -64,7 +65,8 @@
 	if err != nil {
 		return nil, file.Fault(fmt.Errorf("key 'known': %w", err))
 	}
-	if err := engine.Listen(file.Listen, clients+clients/8, rpc.Accept); err != nil {
+	// A few more than the front keeps: it must see a newcomer to make room for it.
+	if err := engine.Listen(file.Listen, clients+clients/8+doorway, rpc.Accept); err != nil {
 		return nil, fmt.Errorf("listening on %s: %w", file.Listen, err)
 	}
 	r := &Running{engine: engine, desk: desk, rpc: rpc, done: make(chan struct{})}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -366,14 +366,58 @@
 	}
 }
 
-// Gather appends what has come to what is held of an unfinished message, in a reused buffer.
-func (e *Engine) Gather(held, more []byte) []byte {
-	if need := len(held) + len(more); need > cap(held) {
-		bigger := append(e.Buffer(need), held...)
-		e.Done(held)
-		held = bigger
-	}
-	return append(held, more...)
+// Messages reads whole messages, in place. Next gives the size of the one that b begins with, 0 while it has not
+// come whole.
+type Messages interface {
+	Next(b []byte) (size int, err error)
+}
+
+// Inbox holds what has come of an unfinished message, in a reused buffer.
+type Inbox struct{ held []byte }
+
+// Len is how many bytes are held.
+func (in *Inbox) Len() int { return len(in.held) }
+
+// Take reads all whole messages of what was held and b, and holds the rest.
+func (in *Inbox) Take(e *Engine, b []byte, m Messages) error {
+	if len(in.held) > 0 {
+		in.add(e, b)
+		b = in.held
+	}
+	for len(b) > 0 {
+		n, err := m.Next(b)
+		if err != nil {
+			return err
+		}
+		if n == 0 {
+			break
+		}
+		b = b[n:]
+	}
+	switch {
+	case len(b) == 0:
+		in.Drop(e)
+	case len(in.held) > 0:
+		in.held = in.held[:copy(in.held, b)]
+	default:
+		in.add(e, b)
+	}
+	return nil
+}
+
+func (in *Inbox) add(e *Engine, b []byte) {
+	if need := len(in.held) + len(b); need > cap(in.held) {
+		bigger := append(e.Buffer(need), in.held...)
+		e.Done(in.held)
+		in.held = bigger
+	}
+	in.held = append(in.held, b...)
+}
+
+// Drop forgets what is held.
+func (in *Inbox) Drop(e *Engine) {
+	e.Done(in.held)
+	in.held = nil
 }
 
 // String names a connection's far end for the log.
--- a/internal/trips/trips.go
+++ b/internal/trips/trips.go
@@ -136,7 +136,7 @@
 	closed bool // no new trips
 	open   []trip
 	given  []ID // that were dropped on it: an answer that comes for one is nobody's
-	in     []byte
+	in     sockets.Inbox
 	used   time.Time // last byte that came, or last trip set out
 	heard  time.Time // last byte that came
 }
@@ -309,7 +309,7 @@
 		return Unsent
 	case sent < t.end:
 		return PartSent
-	case len(l.in) > 0:
+	case l.in.Len() > 0:
 		return Answering
 	}
 	return Sent
@@ -339,8 +339,7 @@
 			break
 		}
 	}
-	l.yard.engine.Done(l.in)
-	l.in = nil
+	l.in.Drop(l.yard.engine)
 }
 
 // Closed ends all trips of a connection as what they provably are.
@@ -361,40 +360,29 @@
 func (l *link) Data(b []byte) error {
 	l.heard = time.Now()
 	l.used, l.pool.heard, l.pool.asked = l.heard, l.heard, time.Time{}
-	held := len(l.in) > 0
-	if held {
-		l.in = l.yard.engine.Gather(l.in, b)
-		b = l.in
-	}
-	for len(b) > 0 {
-		words := l.yard.words[:]
-		n, size, err := resp.Parse(b, words, wordMost)
-		if errors.Is(err, resp.ErrShort) {
-			break
-		}
-		if err != nil {
-			return err
-		}
-		if n >= 2 {
-			l.answer(words[:n])
-		} else {
-			return resp.ErrBroken
-		}
-		b = b[size:]
-	}
-	switch {
-	case len(b) == 0:
-		l.yard.engine.Done(l.in)
-		l.in = nil
-	case held:
-		l.in = l.in[:copy(l.in, b)]
-	default:
-		l.in = l.yard.engine.Gather(nil, b)
+	if err := l.in.Take(l.yard.engine, b, l); err != nil {
+		return err
 	}
 	l.rest()
 	return nil
 }
 
+// Next reads the answer that b begins with.
+func (l *link) Next(b []byte) (int, error) {
+	words := l.yard.words[:]
+	n, size, err := resp.Parse(b, words, wordMost)
+	switch {
+	case errors.Is(err, resp.ErrShort):
+		return 0, nil
+	case err != nil:
+		return 0, err
+	case n < 2:
+		return 0, resp.ErrBroken
+	}
+	l.answer(words[:n])
+	return size, nil
+}
+
 // answer finds the trip that an answer is for. Late, repeated and unknown ones are nobody's.
 func (l *link) answer(words [][]byte) {
 	for i := range l.open {
