--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -16,6 +16,7 @@
 
 	"threadrun/decide"
 	"threadrun/internal/deployment"
+	"threadrun/internal/msgpack"
 	"threadrun/internal/standin"
 	"threadrun/internal/trips"
 )
@@ -523,6 +524,14 @@
 	if a := b.wait(ch); a.Error != "Fault" {
 		t.Errorf("too large a body: %+v", a)
 	}
+	doubled := msgpack.AppendMap(msgpack.AppendArray(msgpack.AppendStr([]byte{0x94, 0, 99}, "page"), 1), len(good)+1)
+	for k, v := range good {
+		doubled = msgpack.AppendStr(msgpack.AppendStr(doubled, k), v)
+	}
+	b.client.Write(msgpack.AppendStr(msgpack.AppendStr(doubled, "trace"), good["trace"]))
+	if a := b.wait(b.client.Extra); a.ID != 99 || a.Error != "Fault" {
+		t.Errorf("a doubled field: %+v", a)
+	}
 	if n := len(b.edges()); n > 0 {
 		t.Errorf("%d trips", n)
 	}
@@ -542,6 +551,67 @@
 	}
 }
 
+// Requests in any pieces, and many in one piece, are the same requests.
+func TestPieces(t *testing.T) {
+	b := open(t, func(_ *standin.Cache, g *standin.Get) *standin.Reply {
+		return &standin.Reply{Word: "data", Body: []byte(g.ID)}
+	})
+	defer b.close()
+	rapid.Check(t, func(rt *rapid.T) {
+		c := b.connect()
+		defer c.Close()
+		var raw []byte
+		want := map[uint64]string{}
+		for id := uint64(1); id <= 8; id++ {
+			b.traces++
+			want[id] = fmt.Sprintf("%016x", b.traces)
+			body := make([]byte, rapid.IntRange(0, 48_000).Draw(rt, "body"))
+			raw = append(raw, standin.Request(id, "order", standin.Visit(b.traces, object, 5*time.Second), body)...)
+		}
+		for len(raw) > 0 {
+			n := rapid.IntRange(1, len(raw)).Draw(rt, "piece")
+			c.Write(raw[:n])
+			raw = raw[n:]
+		}
+		for range want {
+			if a := b.wait(c.Extra); string(a.Body) != want[a.ID] && a.Error != "Shed" {
+				rt.Fatalf("%+v, not %s", a, want[a.ID])
+			}
+		}
+	})
+}
+
+// Should the module panic over the end of a trip, its visit is answered and the others go on.
+func TestPanic(t *testing.T) {
+	held := make(chan struct{})
+	b := open(t, func(_ *standin.Cache, g *standin.Get) *standin.Reply {
+		if g.Fields["path"] == object {
+			<-held
+		}
+		return &standin.Reply{Word: "data", Body: []byte(g.ID)}
+	})
+	defer b.close()
+	ch := b.ask("page", object, 5*time.Second, nil)
+	b.until("the trip", func() bool { return len(b.edges()) == 1 })
+	b.router.engine.Do(func() {
+		for _, c := range b.router.desk.charges {
+			if c.client != nil {
+				b.router.desk.ends = append(b.router.desk.ends, ended{c.visit, decide.Report{Trip: -1}})
+			}
+		}
+	})
+	if a := b.wait(ch); a.Error != "Fault" {
+		t.Errorf("%+v", a)
+	}
+	close(held)
+	if a := b.wait(b.ask("page", "00000000000000bb", time.Second, nil)); a.Error != "" {
+		t.Errorf("the next: %+v", a)
+	}
+	if len(b.client.Extra) > 0 {
+		t.Errorf("a second answer: %+v", <-b.client.Extra)
+	}
+}
+
 // What proves that a visit did not run, and what does not.
 func TestEndings(t *testing.T) {
 	fault := func(r trips.Reach) *trips.End { return &trips.End{Fault: &trips.Fault{Reach: r, Err: io.EOF}} }
