--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -78,7 +78,7 @@
 
 const beatEvery = 20 * time.Millisecond
 
-// New makes a service that is not yet running; Module and Poll are to follow.
+// New makes a service that is not yet running; Attach is to follow.
 func New(e *sockets.Engine, log *logrus.Logger) *Service {
 	s := &Service{engine: e, log: log, start: time.Now(), rung: make(chan struct{}, 1),
 		caches: map[string]decide.CacheID{}}
@@ -281,7 +281,7 @@
 	if o == nil {
 		return
 	}
-	s.close(c, o, silence(s.yard.Drop(t, o.cache)), decide.NoTrace, 0, false)
+	s.close(c, o, silence(s.yard.Drop(t, o.cache)), decide.NoTrace, false)
 }
 
 // Withdraw gives one trip up.
@@ -292,15 +292,15 @@
 	}
 	if o := c.find(n); o != nil {
 		s.yard.Drop(trips.Ticket{Visit: v, Trip: n}, o.cache)
-		s.close(c, o, decide.Withdrawn, decide.NoTrace, 0, false)
+		s.close(c, o, decide.Withdrawn, decide.NoTrace, false)
 	}
 }
 
 // close notes the end of a trip for the module.
-func (s *Service) close(c *charge, o *out, end decide.Ending, trace decide.Trace, first decide.Micros, over bool) {
+func (s *Service) close(c *charge, o *out, end decide.Ending, trace decide.Trace, over bool) {
 	o.over = true
 	s.ends = append(s.ends, ended{c.visit, decide.Report{Trip: o.trip, Ending: end, Trace: trace, Over: over,
-		Elapsed: max(s.clock()-o.sent, 0), FirstOut: first}})
+		Elapsed: max(s.clock()-o.sent, 0)}})
 }
 
 // Ended hears from the yard how a trip ended.
@@ -317,7 +317,7 @@
 	if good {
 		c.client.Deliver(c.no, e.Field("etag"), e.Body, e.Word == trips.Unchanged)
 	}
-	s.close(c, o, end, trace(e.Field("detail")), 0, good)
+	s.close(c, o, end, trace(e.Field("detail")), good)
 }
 
 // Defer answers that trying again is harmless.
--- a/internal/trips/trips.go
+++ b/internal/trips/trips.go
@@ -141,6 +141,8 @@
 	heard  time.Time // last byte that came
 }
 
+var lineEnd = []byte("\r\n")
+
 const (
 	wordMost  = 260_000
 	givenMost = 64
@@ -195,9 +197,10 @@
 		return
 	}
 	begin := l.conn.Queued()
-	l.conn.Send(head, body, []byte("\r\n"))
+	l.conn.Send(head, body, lineEnd)
 	l.used = time.Now()
-	l.open = append(l.open, trip{t, id, begin, l.conn.Queued(), l.used})
+	// Without its line's end a request is not whole, but a cache that goes by lengths might take it for that.
+	l.open = append(l.open, trip{t, id, begin, l.conn.Queued() - int64(len(lineEnd)), l.used})
 }
 
 // pick takes an idle connection, else a new one, else the one with the fewest trips.
