Bound the bodies that clients have the router hold; writes beyond it are deferred at once

By count, 400 connections with 64 open writes of 48,000 bytes could make the router hold over a gigabyte under its limit of 192 MB. Now 32 MB are held at most; a write beyond that never becomes a visit and is told that trying again is harmless.

--- a/internal/front/rpc.go
+++ b/internal/front/rpc.go
@@ -25,6 +25,7 @@
 	conns   map[*caller]struct{}
 	crowded bool
 	held    int // bytes of unfinished requests
+	bodies  int // bytes of requests that are owed an answer
 	ask     Ask
 	head    []byte
 	tail    []byte
@@ -129,11 +130,13 @@
 	id    uint64 // the client's; it may come again once it is answered
 	no    uint64 // ours, never the same twice on a connection
 	visit decide.VisitID
+	body  int // bytes that are held for it
 }
 
 const (
 	messageMost = 1 << 20 // what is too large, but not absurd, gets an answer
 	heldMost    = 24 << 20
+	bodiesMost  = 32 << 20
 	backlogs    = 5
 	bodyMost    = 48_000
 	spareOf     = 4096 // a request without a body is shorter
@@ -228,9 +231,14 @@
 		c.refuse(id, err)
 		return nil
 	}
+	if n := len(ask.Body); n > 0 && c.front.bodies+n > bodiesMost { // wards off a flood of writes that fills the memory
+		c.fault(id, "Shed", "") // none of it has gone anywhere
+		return nil
+	}
 	c.last++
-	c.open = append(c.open, asked{id: id, no: c.last})
+	c.open = append(c.open, asked{id: id, no: c.last, body: len(ask.Body)})
 	c.front.owed++
+	c.front.bodies += len(ask.Body)
 	c.front.visits.Arrive(c, c.last, ask)
 	return nil
 }
@@ -346,6 +354,7 @@
 	c.open = nil
 	c.front.owed -= len(open)
 	for _, o := range open {
+		c.front.bodies -= o.body
 		c.front.visits.Left(o.visit)
 	}
 }
@@ -360,6 +369,7 @@
 }
 
 func (c *caller) drop(i int) {
+	c.front.bodies -= c.open[i].body
 	c.open[i] = c.open[len(c.open)-1]
 	c.open = c.open[:len(c.open)-1]
 	c.front.owed--
