--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -23,7 +23,7 @@
 // Client takes the one answer to each of its visits, under the number it gave the visit.
 type Client interface {
 	Deliver(no uint64, tag, body []byte, unchanged bool)
-	Defer(no uint64)
+	Defer(no uint64, comeback decide.Micros) // 0: the client is not told when to come back
 	Scrap(no uint64)
 	Assigned(no uint64, v decide.VisitID) // the router's name for the visit
 }
--- a/internal/front/rpc.go
+++ b/internal/front/rpc.go
@@ -232,7 +232,7 @@
 		return nil
 	}
 	if n := len(ask.Body); n > 0 && c.front.bodies+n > bodiesMost { // wards off a flood of writes that fills the memory
-		c.fault(id, "Shed", "") // none of it has gone anywhere
+		c.fault(id, "Shed", "why", "") // none of it has gone anywhere
 		return nil
 	}
 	c.last++
@@ -413,31 +413,36 @@
 	c.conn.Send(f.head, body, f.tail)
 }
 
-// Defer tells the client that trying again is harmless.
-func (c *caller) Defer(no uint64) {
+// Defer tells the client that trying again is harmless, and when to, in milliseconds.
+func (c *caller) Defer(no uint64, comeback decide.Micros) {
 	if id, owed := c.answers(no); owed {
-		c.fault(id, "Shed", "")
+		pause := ""
+		if comeback > 0 {
+			pause = strconv.FormatInt(int64(comeback+999)/1000, 10)
+		}
+		c.fault(id, "Shed", "pause", pause)
 	}
 }
 
 // Scrap tells the client that the visit failed, and promises nothing.
 func (c *caller) Scrap(no uint64) {
 	if id, owed := c.answers(no); owed {
-		c.fault(id, "Fault", "")
+		c.fault(id, "Fault", "why", "")
 	}
 }
 
 // refuse answers what never became a visit.
-func (c *caller) refuse(id uint64, why error) { c.fault(id, "Fault", why.Error()) }
+func (c *caller) refuse(id uint64, why error) { c.fault(id, "Fault", "why", why.Error()) }
 
-func (c *caller) fault(id uint64, word, why string) {
+// fault answers with an error word and one field, where that has a value.
+func (c *caller) fault(id uint64, word, field, value string) {
 	f := c.front
 	h := msgpack.AppendUint(msgpack.AppendUint(msgpack.AppendArray(f.head[:0], 4), 1), id)
 	h = msgpack.AppendStr(msgpack.AppendArray(h, 2), word)
-	if why == "" {
+	if value == "" {
 		h = msgpack.AppendMap(h, 0)
 	} else {
-		h = msgpack.AppendStr(msgpack.AppendStr(msgpack.AppendMap(h, 1), "why"), why)
+		h = msgpack.AppendStr(msgpack.AppendStr(msgpack.AppendMap(h, 1), field), value)
 	}
 	f.head = msgpack.AppendNil(h)
 	c.conn.Send(f.head)
--- a/internal/front/rpc_test.go
+++ b/internal/front/rpc_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,12 +15,19 @@
 )
 
 // desk takes visits and answers none.
-type desk struct{ taken, left int }
+type desk struct {
+	taken, left int
+	first       Client
+}
 
 func (d *desk) Ready() bool                             { return true }
 func (d *desk) UseCase([]byte) (decide.UseCaseID, bool) { return 0, true }
-func (d *desk) Arrive(Client, uint64, *Ask)             { d.taken++ }
-func (d *desk) Left(decide.VisitID)                     { d.left++ }
+func (d *desk) Arrive(c Client, _ uint64, _ *Ask) {
+	if d.taken++; d.first == nil {
+		d.first = c
+	}
+}
+func (d *desk) Left(decide.VisitID) { d.left++ }
 
 // Writes beyond what the memory is to hold are deferred at once; clients that go give their part back.
 func TestWritesFlood(t *testing.T) {
@@ -55,7 +63,7 @@
 			go func() {
 				select {
 				case a := <-ch:
-					shed <- a.Error
+					shed <- strings.TrimSpace(a.Error + " " + a.Fields["pause"])
 				case <-c.Ended():
 				}
 			}()
@@ -71,17 +79,28 @@
 			t.Fatalf("%d of %d deferred", i, asked-fit)
 		}
 	}
+	// One of those held is deferred, with a time to come back; its part comes free at once.
+	var held int
+	e.Do(func() {
+		held = rpc.bodies
+		d.first.Defer(1, 1500)
+		d.first.Defer(1, 1500)
+		held -= rpc.bodies
+	})
+	if word := <-shed; word != "Shed 2" || held != bodyMost {
+		t.Errorf("answer %q, %d bytes free", word, held)
+	}
 	for _, c := range clients {
 		c.Close()
 	}
 	for i := 0; ; i++ {
 		left, held := 0, 0
 		e.Do(func() { left, held = d.left, rpc.bodies+rpc.held })
-		if left == fit && held == 0 {
+		if left == fit-1 && held == 0 {
 			break
 		}
 		if i > 5000 {
-			t.Fatalf("%d of %d left, %d bytes held", left, fit, held)
+			t.Fatalf("%d of %d left, %d bytes held", left, fit-1, held)
 		}
 		time.Sleep(2 * time.Millisecond)
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -320,10 +320,10 @@
 	s.close(c, o, end, trace(e.Field("detail")), good)
 }
 
-// Defer answers that trying again is harmless.
-func (s *Service) Defer(v decide.VisitID, _ decide.Micros) {
+// Defer answers that trying again is harmless, and when to where the site lets clients be told.
+func (s *Service) Defer(v decide.VisitID, comeback decide.Micros) {
 	if c := s.charge(v); c != nil {
-		c.client.Defer(c.no)
+		c.client.Defer(c.no, comeback)
 	}
 }
 
