Find a trip under way in one place; one table of the fields that count; drop what nothing uses

The service looked a visit's open trip up in three places with the same lines; the front named its fields twice, once with their bits and once to refuse values that are no strings. Both are said once now. Quiet asks a connection what is unread as Beat does. A stand-in's method and two of its fields had no reader.

--- a/internal/front/rpc.go
+++ b/internal/front/rpc.go
@@ -99,7 +99,7 @@
 		return false
 	}
 	for c := range f.conns {
-		if c.conn.Queued() != c.conn.Sent() {
+		if c.unread() != 0 {
 			return false
 		}
 	}
@@ -243,6 +243,11 @@
 	return nil
 }
 
+// fieldBits are the fields that count, each with its bit; others are passed over. All but size and ver are needed.
+var fieldBits = map[string]int{"trace": 1, "entity": 2, "piece": 4, "lot": 8, "patience": 16, "size": 32, "ver": 64}
+
+const needed = 1 | 2 | 4 | 8 | 16
+
 // read checks all that a client says before any of it is passed on.
 func (c *caller) read(r *msgpack.Reader, method []byte, a *Ask) error {
 	use, ok := c.front.visits.UseCase(method)
@@ -254,45 +259,42 @@
 	if r.Err() != nil || args < 1 {
 		return errMissing
 	}
-	seen, bit := 0, 0
+	seen := 0
 	for pairs := r.Map(); pairs > 0; pairs-- {
 		key := r.Bytes()
 		if r.Err() != nil {
 			return errField
 		}
-		if k := r.Peek(); k != msgpack.Str && k != msgpack.Bin {
+		bit := fieldBits[string(key)]
+		if bit == 0 {
 			r.Skip()
-			if known(key) {
-				return errField
-			}
 			continue
 		}
+		if k := r.Peek(); k != msgpack.Str && k != msgpack.Bin {
+			return errField
+		}
 		value := r.Bytes()
 		ok := true
 		switch string(key) {
 		case "trace":
-			bit, ok = 1, copyMark(&a.Mark, value)
+			ok = copyMark(&a.Mark, value)
 		case "entity":
-			bit, ok = 2, copyMark(&a.Object, value)
+			ok = copyMark(&a.Object, value)
 		case "piece":
 			var n uint64
 			n, ok = digits(value, 1<<30)
-			bit, a.Part = 4, int(n)
+			a.Part = int(n)
 		case "lot":
 			var n uint64
 			n, ok = digits(value, 255)
-			bit, a.Group = 8, decide.GroupID(n)
+			a.Group = decide.GroupID(n)
 		case "patience":
-			bit = 16
 			a.Patience, ok = span(value)
 		case "size":
-			bit = 32
 			a.KB, ok = decimal(value)
 		case "ver":
-			bit, ok = 64, word(value)
+			ok = word(value)
 			a.Have = value
-		default:
-			continue
 		}
 		if !ok {
 			return errField
@@ -305,7 +307,7 @@
 	if r.Err() != nil {
 		return errField
 	}
-	if seen&31 != 31 { // all but size and ver
+	if seen&needed != needed {
 		return errMissing
 	}
 	if args > 1 {
@@ -322,14 +324,6 @@
 	return nil
 }
 
-func known(key []byte) bool {
-	switch string(key) {
-	case "trace", "entity", "piece", "lot", "patience", "size", "ver":
-		return true
-	}
-	return false
-}
-
 // gaveUp ends what is owed for one request.
 func (c *caller) gaveUp(id uint64) {
 	for i := range c.open {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -201,13 +201,17 @@
 	return nil
 }
 
-func (c *charge) find(n decide.TripNo) *out {
+// underWay finds a trip that has not ended, with its visit; o is nil if there is none.
+func (s *Service) underWay(t trips.Ticket) (c *charge, o *out) {
+	if c = s.charge(t.Visit); c == nil {
+		return nil, nil
+	}
 	for i := range c.out {
-		if c.out[i].trip == n && !c.out[i].over {
-			return &c.out[i]
+		if c.out[i].trip == t.Trip && !c.out[i].over {
+			return c, &c.out[i]
 		}
 	}
-	return nil
+	return c, nil
 }
 
 // Ready tells whether clients may come: the first list is in, and the end is not near.
@@ -273,11 +277,7 @@
 
 // late ends a trip at its limit.
 func (s *Service) late(t trips.Ticket) {
-	c := s.charge(t.Visit)
-	if c == nil {
-		return
-	}
-	o := c.find(t.Trip)
+	c, o := s.underWay(t)
 	if o == nil {
 		return
 	}
@@ -286,12 +286,9 @@
 
 // Withdraw gives one trip up.
 func (s *Service) Withdraw(v decide.VisitID, n decide.TripNo) {
-	c := s.charge(v)
-	if c == nil {
-		return
-	}
-	if o := c.find(n); o != nil {
-		s.yard.Drop(trips.Ticket{Visit: v, Trip: n}, o.cache)
+	t := trips.Ticket{Visit: v, Trip: n}
+	if c, o := s.underWay(t); o != nil {
+		s.yard.Drop(t, o.cache)
 		s.close(c, o, decide.Withdrawn, decide.NoTrace, false)
 	}
 }
@@ -305,11 +302,7 @@
 
 // Ended hears from the yard how a trip ended.
 func (s *Service) Ended(t trips.Ticket, e *trips.End) {
-	c := s.charge(t.Visit)
-	if c == nil {
-		return
-	}
-	o := c.find(t.Trip)
+	c, o := s.underWay(t)
 	if o == nil {
 		return
 	}
--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -18,7 +18,6 @@
 	ID     string
 	Fields map[string]string
 	Body   []byte
-	At     time.Time
 	Conn   net.Conn
 }
 
@@ -40,7 +39,6 @@
 	door    net.Listener
 	gets    []*Get
 	dropped map[string]int
-	pings   int
 	silent  bool
 	conns   map[net.Conn]bool
 	kept    map[string]copied
@@ -120,17 +118,6 @@
 	c.silent = on
 }
 
-// Forget drops all copies of an object, or everything.
-func (c *Cache) Forget(object string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for k := range c.kept {
-		if object == "" || strings.HasPrefix(k, object+"/") {
-			delete(c.kept, k)
-		}
-	}
-}
-
 func (c *Cache) serve(conn net.Conn) {
 	r := bufio.NewReader(conn)
 	defer conn.Close()
@@ -146,14 +133,13 @@
 		case words[0] == "DROP" && len(words) == 2:
 			c.dropped[words[1]]++
 		case words[0] == "PING" && len(words) == 2:
-			c.pings++
 			if !silent {
 				w.Lock()
 				_, _ = io.WriteString(conn, Array(words[1], "well", "-", ""))
 				w.Unlock()
 			}
 		case words[0] == "GET" && len(words) == 4:
-			g := &Get{ID: words[1], Fields: Fields(words[2]), Body: []byte(words[3]), At: time.Now(), Conn: conn}
+			g := &Get{ID: words[1], Fields: Fields(words[2]), Body: []byte(words[3]), Conn: conn}
 			c.gets = append(c.gets, g)
 			go func() {
 				var reply *Reply
