SIGHUP takes up a new file whole; the poll moves to the new bulletin with its number

Nothing in cmd/threadrun asked for that signal, so the runtime's default ended the process.

Now the file is opened and checked whole by deployment (File.Check, which the start's own readers make up), then the bounds on connections and the poll change under the lock. Several words in a row are one; they never crowd out SIGTERM, and one that comes while leaving ends nothing. Keys that need a new start are named in the log.

Checked: the old bulletin gets no further poll, the new one is asked after the number in hand, visits in hand are answered, a missing or faulty file changes nothing. Without the Notify line the start's test fails (before, it hung there: it now sees the end of its connection); without the move the poll's test fails.

--- a/cmd/threadrun/main.go
+++ b/cmd/threadrun/main.go
@@ -1,4 +1,5 @@
-// Command threadrun is the visit router on sockets: it reads its configuration, starts, and ends on a signal.
+// Command threadrun is the visit router on sockets: it reads its configuration, starts, takes up a
+// new one on SIGHUP, and ends on SIGTERM.
 package main
 
 import (
@@ -25,6 +26,9 @@
 func run() error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	// A channel of its own: words to reload that come in a row are as good as one, and may not crowd out the word to end.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	file, err := deployment.Open(os.Getenv("RELAY_CONFIG"), os.Getenv)
 	if err != nil {
 		return err
@@ -41,8 +45,24 @@
 	if err != nil {
 		return err
 	}
+	go func() {
+		for range reloads {
+			if err := reload(router); err != nil {
+				log.WithError(err).Error("reload: the file can't be used, all stays as it was")
+			}
+		}
+	}()
 	log.WithField("signal", <-signals).Info("leaving: serving on until all is answered")
 	router.Leave()
 	log.Info("left: all is answered")
 	return nil
 }
+
+// reload takes up what the file says now, whole or not at all.
+func reload(router *service.Running) error {
+	file, err := deployment.Open(os.Getenv("RELAY_CONFIG"), os.Getenv)
+	if err != nil {
+		return err
+	}
+	return router.Reload(file)
+}
--- a/cmd/threadrun/main_test.go
+++ b/cmd/threadrun/main_test.go
@@ -67,14 +67,31 @@
 		}
 		_, first := client.Ask("page", standin.Visit(1, "00000000000000aa", 2*time.Second), nil)
 		a := <-first
+		// The word to take up a file, with none there, several times and again while leaving, ends nothing.
+		if err := os.Rename(path, path+".away"); err != nil {
+			t.Fatal(err)
+		}
+		for i := 0; i < 3; i++ {
+			_ = c.Process.Signal(syscall.SIGHUP)
+			time.Sleep(5 * time.Millisecond)
+		}
+		if err := os.Rename(path+".away", path); err != nil {
+			t.Fatal(err)
+		}
 		_, second := client.Ask("page", standin.Visit(2, "00000000000000bb", 2*time.Second), nil)
 		_ = c.Process.Signal(signal)
+		_ = c.Process.Signal(syscall.SIGHUP)
 		if string(a.Body) != "here" {
 			t.Errorf("%+v", a)
 		}
 		if signal == syscall.SIGTERM {
-			if a := <-second; string(a.Body) != "here" {
-				t.Errorf("while leaving: %+v", a)
+			select {
+			case a := <-second:
+				if string(a.Body) != "here" {
+					t.Errorf("while leaving: %+v", a)
+				}
+			case <-client.Ended():
+				t.Error("ended with no answer")
 			}
 		}
 		if err := c.Wait(); (err == nil) != (signal == syscall.SIGTERM) {
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -81,6 +81,19 @@
 // Known takes the events of the start.
 func (p *Poll) Known(v *fastjson.Value) error { return p.take(v) }
 
+// Move has the poll go on elsewhere, or in another way, with the number it has. What is out is given up: the place it
+// went to may tell nothing more.
+func (p *Poll) Move(address string, wait, slack time.Duration) {
+	if p.address == address && p.wait == wait && p.slack == slack {
+		return
+	}
+	p.address, p.wait, p.slack = address, wait, slack
+	if p.conn != nil {
+		p.conn.Close()
+	}
+	p.conn, p.asked, p.again, p.pause = nil, false, time.Time{}, pauseFirst
+}
+
 // Beat keeps the poll going. It is called under the lock, some tens of times a second.
 func (p *Poll) Beat(now time.Time) {
 	switch {
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -24,20 +24,7 @@
 		if err != nil {
 			return err
 		}
-		if _, _, _, err = f.Limits(); err != nil {
-			return err
-		}
-		if _, _, _, _, _, err = f.Pools(); err != nil {
-			return err
-		}
-		if _, _, err = f.Polls(); err != nil {
-			return err
-		}
-		if _, _, _, err = Connections(f.Site); err != nil {
-			return f.Fault(err)
-		}
-		_, _, err = Site(f.Site, f.Seed, nil)
-		return f.Fault(err)
+		return f.Check()
 	}
 	if err := read(good); err != nil {
 		t.Fatalf("a good one: %v", err)
@@ -45,6 +32,7 @@
 	for _, c := range []struct{ old, with, key string }{
 		{`"listen":"127.0.0.1:0"`, `"listen":"nowhere"`, "'listen'"}, {`"seed":"5eed"`, `"seed":5`, "'seed'"},
 		{`"bulletin"`, `"board"`, "'bulletin'"}, {`"settings"`, `"setting"`, "'settings'"}, {`"known"`, `"now"`, "'known'"},
+		{`"known":{"no"`, `"known":{"on"`, "'known.no'"},
 		{`"sockets":512`, `"sockets":3`, "'limits.sockets'"}, {`"wait_ms":400`, `"wait_ms":"long"`, "'polls.wait_ms'"},
 		{`"connect_timeout":300`, `"connect_timeout":0`, "'limits.connect_timeout'"},
 		{`"aim":300`, `"aim":"soon"`, "'lanes[0].aim'"}, {`"aim":300,"deadline"`, `"deadline"`, "'lanes[1].aim'"},
--- a/internal/deployment/file.go
+++ b/internal/deployment/file.go
@@ -118,3 +118,43 @@
 	wait, slack = ms("polls.wait_ms", 1500), ms("polls.slack_ms", 500)
 	return wait, slack, f.wrap(k.err)
 }
+
+// Check reads all that a router is told, for its first fault: a file is taken up whole or not at all.
+func (f *File) Check() error {
+	if _, _, _, err := f.Limits(); err != nil {
+		return err
+	}
+	if _, _, _, _, _, err := f.Pools(); err != nil {
+		return err
+	}
+	if _, _, err := f.Polls(); err != nil {
+		return err
+	}
+	if _, _, _, err := Connections(f.Site); err != nil {
+		return f.wrap(err)
+	}
+	k := &keys{}
+	k.number(f.v, "known.no", -1, 0)
+	_, _, err := Site(f.Site, f.Seed, nil)
+	if err == nil {
+		err = k.err
+	}
+	return f.wrap(err)
+}
+
+// Held names the keys that differ from an earlier file's and can be taken up by a new start only.
+func (f *File) Held(was *File) []string {
+	var keys []string
+	if f.Name != was.Name {
+		keys = append(keys, "name")
+	}
+	if f.Listen != was.Listen {
+		keys = append(keys, "listen")
+	}
+	for _, key := range [...]string{"limits", "settings"} {
+		if text := func(f *File) string { return fmt.Sprint(f.v.Get(key)) }; text(f) != text(was) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
--- a/internal/front/rpc.go
+++ b/internal/front/rpc.go
@@ -39,6 +39,11 @@
 		conns: map[*caller]struct{}{}}
 }
 
+// Bound changes what clients are held to.
+func (f *RPC) Bound(backlog, most int, idle time.Duration) {
+	f.backlog, f.most, f.idle = backlog, most, idle
+}
+
 // Accept makes the object behind a client's connection.
 func (f *RPC) Accept(c *sockets.Conn) sockets.Owner {
 	now := time.Now()
--- a/internal/front/rpc_test.go
+++ b/internal/front/rpc_test.go
@@ -46,7 +46,8 @@
 	l.Close()
 	d := &desk{}
 	rpc := NewRPC(e, log, d, 1<<20, 100, time.Minute)
-	if err := e.Listen(door, 100, rpc.Accept); err != nil {
+	e.Bound(100)
+	if err := e.Listen(door, rpc.Accept); err != nil {
 		t.Fatal(err)
 	}
 	const asked, fit = 13 * openMost, bodiesMost / bodyMost
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,6 +17,7 @@
 
 	"threadrun/decide"
 	"threadrun/internal/deployment"
+	"threadrun/internal/mix"
 	"threadrun/internal/msgpack"
 	"threadrun/internal/standin"
 	"threadrun/internal/trips"
@@ -149,6 +151,19 @@
 	}
 }
 
+// standing is what the router last heard of a cache, as the module has it.
+func (b *branch) standing(name string) decide.Standing {
+	var at decide.Standing
+	b.router.engine.Do(func() {
+		for _, x := range b.router.desk.list {
+			if x.Mark == mix.Name(name) {
+				at = x.Standing
+			}
+		}
+	})
+	return at
+}
+
 func (b *branch) edges() []*standin.Get {
 	return append(b.caches["edge-1"].Gets(), b.caches["edge-2"].Gets()...)
 }
@@ -458,6 +473,74 @@
 	})
 }
 
+// A new file under load: a faulty one changes nothing and is told of by its key; with a good one the poll goes on
+// elsewhere, from the number it has. A poll that began anew would take up the old list and purges again, one that
+// stayed would hear no more of either.
+func TestReload(t *testing.T) {
+	b := open(t, func(_ *standin.Cache, g *standin.Get) *standin.Reply {
+		time.Sleep(50 * time.Millisecond)
+		return &standin.Reply{Word: "data", Body: []byte("here")}
+	})
+	defer b.close()
+	next, err := standin.Post("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	var after []string
+	next.Spoil = func(_ http.ResponseWriter, r *http.Request, _ int) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		after = append(after, r.URL.Query().Get("after"))
+		return false
+	}
+	next.Roster(true, b.line("edge-1", "up", 0), b.line("edge-2", "up", 0))
+	reload := func(from *standin.Board, old, with string) error {
+		path, err := standin.Write(t.TempDir(), strings.Replace(standin.Configuration(b.door, from), old, with, 1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		file, err := deployment.Open(path, func(string) string { return "" })
+		if err != nil {
+			return err
+		}
+		return b.router.Reload(file)
+	}
+	first := b.ask("page", object, 2*time.Second, nil)
+	for _, fault := range [][3]string{{`"wait_ms":400`, `"wait_ms":"long"`, "'polls.wait_ms'"},
+		{`"aim":300`, `"aim":"soon"`, "'lanes[0].aim'"}, {`"bulletin":"127`, `"bulletin":"bad`, "'bulletin'"}} {
+		if err := reload(next, fault[0], fault[1]); err == nil || !strings.Contains(err.Error(), fault[2]) {
+			t.Errorf("%s: %v", fault[1], err)
+		}
+	}
+	b.board.Roster(false, b.line("edge-1", "draining", 0))
+	b.until("the old bulletin is heard still", func() bool { return b.standing("edge-1") != 0 })
+	next.Roster(false, b.line("edge-1", "draining", 0))
+	for i := 0; i < 3; i++ { // the word may come again
+		if err := reload(next, "5eed", "5eee"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	next.Roster(false, b.line("edge-1", "up", 0), b.line("edge-2", "removed", 0))
+	b.until("the new bulletin is heard", func() bool { return b.standing("edge-1") == 0 })
+	if a := b.wait(first); string(a.Body) != "here" {
+		t.Errorf("%+v", a)
+	}
+	if a := b.wait(b.ask("page", object, 2*time.Second, nil)); string(a.Body) != "here" {
+		t.Errorf("%+v", a)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if after[0] != "2" || strings.Contains(b.log.String(), "start anew") {
+		t.Errorf("polls after %v; log:\n%s", after, b.log)
+	}
+	polls := b.board.Polls()
+	time.Sleep(700 * time.Millisecond) // over one wait
+	if more := b.board.Polls() - polls; more > 0 {
+		t.Errorf("%d polls more at the old bulletin", more)
+	}
+}
+
 // The word to end: what has come is answered, what still comes too, and only then is it over.
 func TestLeave(t *testing.T) {
 	b := open(t, func(_ *standin.Cache, g *standin.Get) *standin.Reply {
--- a/internal/service/start.go
+++ b/internal/service/start.go
@@ -16,6 +16,7 @@
 
 // Running is a router at work.
 type Running struct {
+	file   *deployment.File
 	engine *sockets.Engine
 	desk   *Service
 	rpc    *front.RPC
@@ -65,16 +66,40 @@
 	if err != nil {
 		return nil, file.Fault(fmt.Errorf("key 'known': %w", err))
 	}
-	// A few more than the front keeps: it must see a newcomer to make room for it.
-	if err := engine.Listen(file.Listen, clients+clients/8+doorway, rpc.Accept); err != nil {
+	engine.Bound(atDoor(clients))
+	if err := engine.Listen(file.Listen, rpc.Accept); err != nil {
 		return nil, fmt.Errorf("listening on %s: %w", file.Listen, err)
 	}
-	r := &Running{engine: engine, desk: desk, rpc: rpc, done: make(chan struct{})}
+	r := &Running{file: file, engine: engine, desk: desk, rpc: rpc, done: make(chan struct{})}
 	go desk.Run(r.done)
 	log.WithFields(logrus.Fields{"name": file.Name, "listen": file.Listen}).Info("serving")
 	return r, nil
 }
 
+// atDoor is a few more than the front keeps: it must see a newcomer to make room for it.
+func atDoor(clients int) int { return clients + clients/8 + doorway }
+
+// Reload takes up another file: where the bulletin is and how it is polled, and the bounds on connections. It is
+// checked whole before anything changes. What only a new start can change is named in the log.
+func (r *Running) Reload(file *deployment.File) error {
+	if err := file.Check(); err != nil {
+		return err
+	}
+	clients, caches, each, backlog, idle, _ := file.Pools()
+	wait, slack, _ := file.Polls()
+	r.engine.Do(func() {
+		r.engine.Bound(atDoor(clients))
+		r.rpc.Bound(backlog, clients, idle)
+		r.desk.yard.Bound(caches, each)
+		r.desk.poll.Move(file.Board, wait, slack)
+	})
+	if keys := file.Held(r.file); len(keys) > 0 {
+		r.desk.log.WithField("keys", keys).Warn("reload: these keys hold from the next start on")
+	}
+	r.desk.log.WithField("bulletin", file.Board).Info("reloaded")
+	return nil
+}
+
 // Leave serves on for a while, and then until all is answered and every answer is with the kernel.
 func (r *Running) Leave() {
 	r.engine.Do(r.desk.SetLeaving)
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -52,6 +52,7 @@
 	nb      *nbio.Engine
 	log     *logrus.Logger
 	door    net.Listener
+	most    atomic.Int32 // accepted connections
 	dialing []*Conn
 	free    [][]byte
 	spare   int // bytes in free
@@ -95,8 +96,11 @@
 	return e, e.nb.Start()
 }
 
-// Listen accepts connections at an address, at most so many at a time; one too many is closed at once.
-func (e *Engine) Listen(address string, most int, accept func(*Conn) Owner) error {
+// Bound sets how many accepted connections there may be at a time; one too many is closed at once.
+func (e *Engine) Bound(most int) { e.most.Store(int32(most)) }
+
+// Listen accepts connections at an address, within the bound that is set.
+func (e *Engine) Listen(address string, accept func(*Conn) Owner) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
@@ -111,7 +115,7 @@
 				return
 			case err != nil: // most likely no descriptor: the next one to close gives one
 				time.Sleep(5 * time.Millisecond)
-			case inside.Add(1) > int32(most):
+			case inside.Add(1) > e.most.Load():
 				inside.Add(-1)
 				_ = raw.Close()
 			default:
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -81,7 +81,8 @@
 	}
 	address := probe.Addr().String()
 	probe.Close()
-	if err := e.Listen(address, 1, func(c *Conn) Owner {
+	e.Bound(1)
+	if err := e.Listen(address, func(c *Conn) Owner {
 		return &party{data: func([]byte) error { panic("a fault") }, closed: func(err error) { ended <- err }}
 	}); err != nil {
 		t.Fatal(err)
--- a/internal/trips/trips.go
+++ b/internal/trips/trips.go
@@ -182,6 +182,9 @@
 	}
 }
 
+// Bound changes how many connections there may be, in all and to one cache.
+func (y *Yard) Bound(most, each int) { y.most, y.each = most, each }
+
 // Open counts the connections.
 func (y *Yard) Open() int { return y.open }
 
