Bad clients' errors and one connection's end no longer have healthy caches rest

A probe that logged each trip without a good answer showed 2553 of them, every one 'failed', 2510 within 2 ms: caches answering what bad clients ask for. With the quickest answer ever at 0.1 ms, four times that was the bound between the cache's door and its source, so a moment's load made it a parent's fault (observe, case Failed): three of those and the parent rested, and its objects were fetched from the origin by way of the other.

Now an error within 3 ms is never the source's. Trips that were out together when a connection ended count as one failure (case Broken counted each). A size beyond belief moves the mean sending time by 20 expected times at most: one visit of 9e8 KB had moved it to 1500 s. Lateness of fetches, and of what joined them, does not count towards a cache's own.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -37,6 +37,7 @@
 
 	cutHigh, cutLow = 8.0, 30.0 // of the typical gap: rank 3 below the first, rank 1 above the second
 
+	workMost     = 20.0   // times its expected time: the most that a visit's sending time counts in the mean
 	tripsMost    = 3      // one and up to two further ones
 	answerMargin = 4 * ms // a trip ends this long before the client's time is up
 
@@ -57,6 +58,7 @@
 	deadStrikes = 2        // after which a cache that answers again is taken for just started
 	sourceFails = 3        // failures with nothing good meanwhile, after which a source rests
 	doorTimes   = 4        // a refusal that took so many times the quickest answer is its source's
+	doorLeast   = 3 * ms   // and no sooner: a machine's own load may take that long
 	quickKeeps  = 5.0      // seconds
 	quickPardon = 0.98     // what is left of a slower parent's figure each time it is passed by
 	quickTie    = 1.3      // sources nearer than this are equally quick: the hash decides
@@ -203,8 +205,8 @@
 	r.desk.Taken(id)
 	use := &r.cases[a.UseCase]
 	v.Write, v.key = a.Write || use.Write, mix.Pair(uint64(a.Object), uint64(a.Part))
-	if r.branch.PaceKB > 0 && a.KB > 0 {
-		smooth(&r.work[a.UseCase], a.KB/r.branch.PaceKB, theta)
+	if r.branch.PaceKB > 0 && a.KB > 0 { // clients may say any size
+		smooth(&r.work[a.UseCase], math.Min(a.KB/r.branch.PaceKB, workMost*seconds(use.Expected)), theta)
 		v.work = micros(a.KB / r.branch.PaceKB)
 	} else {
 		v.work = micros(r.work[a.UseCase])
@@ -537,9 +539,11 @@
 	if r.leave.Told && late && rep.Ending == Delivered && (rep.Trace == Filled || rep.Elapsed < v.aim-v.came) {
 		t.fetches = false // wards off blaming the origin for a parent's own copy, or for waiting here
 	}
-	// Wards off blaming sources for a slow cache, one that is late more often than others.
+	// Wards off blaming sources for a slow cache, one that is late more often than others. Fetches do not count:
+	// with a slow origin, caches that had more of them to wait for turned their hits away.
 	own := rep.Trace != FilledByOrigin && c.late.Mean > r.late.Mean+lateMore
-	if rep.Ending == Delivered || rep.Ending == TooSlow {
+	waited := rep.Trace.IsFill() || rep.Trace == Joined
+	if rep.Ending == Delivered && !(waited && t.fetches) || rep.Ending == TooSlow && !t.fetches {
 		c.late.Count(late, seconds(r.now), lateKeeps)
 		r.late.Count(late, seconds(r.now), lateKeeps)
 	}
@@ -557,11 +561,12 @@
 				r.adjust(&src.fills, t, !late)
 				r.blame(t, !late)
 			}
-		} else {
+		} else if !waited || !pressed {
 			r.adjust(&c.trips, t, !pressed)
 		}
 	case Refused, Failed:
-		v.fillFailed = filling && rep.Trace != NoPlace && (rep.Trace != NoTrace || rep.Elapsed > doorTimes*r.door)
+		v.fillFailed = filling && rep.Trace != NoPlace &&
+			(rep.Trace != NoTrace || rep.Elapsed > max(doorTimes*r.door, doorLeast))
 		if rep.Trace == OriginFailed { // nothing is wrong with the parent
 			r.blame(t, false)
 		} else if v.fillFailed {
@@ -572,7 +577,10 @@
 	case NoRoute:
 		r.strike(c, true)
 	case Broken: // may be the way's: a process that died gives no connection next
-		if c.fails++; c.fails >= sourceFails {
+		if t.sent >= c.brokeAt { // what was out together shared a connection's end: one failure
+			c.fails, c.brokeAt = c.fails+1, r.now
+		}
+		if c.fails >= sourceFails {
 			r.strike(c, false)
 		}
 	case TooSlow:
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -368,9 +368,13 @@
 func TestOneBrokenConnectionIsNoDeath(t *testing.T) {
 	for n, rests := range map[int]bool{1: false, 2: false, 3: true} {
 		d := bench(plainLeave)
-		c := &d.r.caches[1]
-		for range n {
-			d.r.observe(&visit{}, &trip{cache: 1, source: 1}, Report{Ending: Broken})
+		c, out := &d.r.caches[1], d.r.now
+		for range 9 { // on one connection, which ends
+			d.r.Clock(d.r.now + 1)
+			d.r.observe(&visit{}, &trip{cache: 1, source: 1, sent: out}, Report{Ending: Broken})
+		}
+		for range n - 1 {
+			d.r.observe(&visit{}, &trip{cache: 1, source: 1, sent: d.r.now}, Report{Ending: Broken})
 		}
 		if r := c.restUntil > d.r.now; r != rests || d.r.isCold(c) {
 			t.Errorf("after %d: rests %v", n, r)
@@ -378,6 +382,56 @@
 	}
 }
 
+// What bad clients can bring about is no fault of a cache or parent, nor learned as it stands: an error at once, whatever a
+// moment's load adds to it, and sizes beyond belief, which count for little. A parent that rests for it sends its part of the fills elsewhere.
+func TestBadAsksBlameNobody(t *testing.T) {
+	d := bench(plainLeave)
+	d.arrive(video(1))
+	d.end(0, Report{Ending: Delivered, Trace: Hit, Elapsed: ms / 10})
+	before := d.r.work[0]
+	for i := range 20 {
+		a := video(100 + i)
+		a.KB = 9e8
+		d.arrive(a)
+		for len(d.out) > 0 {
+			d.pass(2 * ms)
+			d.end(0, Report{Ending: Failed, Elapsed: 2 * ms})
+		}
+	}
+	for i := range d.r.caches {
+		if c := &d.r.caches[i]; c.strikes > 0 || c.fills.most < fillsFirst && c.Tier == Parent {
+			t.Errorf("cache %d: %d strikes, %.1f fills", i, c.strikes, c.fills.most)
+		}
+	}
+	if d.r.work[0] > before+2 { // of 180000 s asked for
+		t.Errorf("work of %.1f s learned, it was %.3f s", d.r.work[0], before)
+	}
+	d.check(t)
+}
+
+// With a slow origin the fills come late, and more of them at one cache than at another: its hits, which are in time,
+// must not be turned away for that.
+func TestLateFillsLeaveHitsRoom(t *testing.T) {
+	d := bench(plainLeave)
+	c := &d.r.caches[0]
+	for i := range 60 {
+		d.r.Clock(d.r.now + 50*ms)
+		came := d.r.now - 900*ms
+		v := &visit{came: came, aim: came + 500*ms, ends: came + 3*second}
+		fill := trip{cache: CacheID(i % 3), source: 4, sent: came, mayFill: true, fetches: true}
+		trace := Hit // at the others, in time
+		if fill.cache == 0 {
+			trace = [...]Trace{Filled, Joined}[i/3%2]
+		} else {
+			v.aim = d.r.now + second
+		}
+		d.r.observe(v, &fill, Report{Ending: Delivered, Trace: trace, Elapsed: 900 * ms})
+	}
+	if c.trips.most < tripsFirst || c.late.Mean > 0 {
+		t.Errorf("limit %.1f of %.1f, %.2f of its own copies late", c.trips.most, tripsFirst, c.late.Mean)
+	}
+}
+
 // still is a desk that takes results and keeps only the last visit.
 type still struct{ v VisitID }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -81,6 +81,7 @@
 	quick     drift.Drift // smoothed time that a fill from it takes beyond its bytes
 	bucket    bucket.Bucket
 	fails     int
+	brokeAt   Micros      // the last end of a connection that counted
 	late      drift.Drift // share of its ends that were late, lately
 	died      bool        // it gave no connection, or struck out
 	spread    Micros      // the start that its cold budget was made for
