Marks in hand are refused, silent clients and half answers end soon, bounds follow the limits

Each has a test that was seen to fail without it; the stopped answer's test first passed by the PING's answer, so its cache now answers others meanwhile.

--- a/internal/deployment/file.go
+++ b/internal/deployment/file.go
@@ -92,21 +92,24 @@
 	return cores, memoryMB, descriptors, f.wrap(k.err)
 }
 
+const roomShare = 10 // unfinished requests, bodies and unread answers take a tenth of the memory each at most
+
 // Pools gives the bounds on connections: how many clients and caches may have, together and each cache; how many
-// bytes a client may leave unread; after how long an idle client is cut off. The optional object 'pools' overrides
-// the defaults, which come from the limit on descriptors.
-func (f *File) Pools() (clients, caches, each, backlog int, idle time.Duration, err error) {
-	_, _, descriptors, err := f.Limits()
+// bytes a client may leave unread, and what room there is for clients' bytes of each kind; after how long an idle
+// client is cut off. The optional object 'pools' overrides the defaults, which come from the limits.
+func (f *File) Pools() (clients, caches, each, backlog, room int, idle time.Duration, err error) {
+	_, memoryMB, descriptors, err := f.Limits()
 	if err != nil {
-		return 0, 0, 0, 0, 0, err
+		return 0, 0, 0, 0, 0, 0, err
 	}
+	room = memoryMB << 20 / roomShare
 	k := &keys{}
 	clients = int(k.number(f.v, "pools.clients", float64(descriptors*2/5), 1))
 	caches = int(k.number(f.v, "pools.caches", float64(descriptors*2/5), 1))
 	each = int(k.number(f.v, "pools.each_cache", 48, 1))
-	backlog = int(k.number(f.v, "pools.unread_bytes", 8<<20, 1<<18))
+	backlog = int(k.number(f.v, "pools.unread_bytes", float64(room/2), 1<<18))
 	idle = time.Duration(k.number(f.v, "pools.client_idle_ms", 30_000, 1000)) * time.Millisecond
-	return clients, caches, each, backlog, idle, f.wrap(k.err)
+	return clients, caches, each, backlog, room, idle, f.wrap(k.err)
 }
 
 // Polls gives the bulletin's waits: how long one poll may be held, and how much longer it may take.
@@ -124,7 +127,7 @@
 	if _, _, _, err := f.Limits(); err != nil {
 		return err
 	}
-	if _, _, _, _, _, err := f.Pools(); err != nil {
+	if _, _, _, _, _, _, err := f.Pools(); err != nil {
 		return err
 	}
 	if _, _, err := f.Polls(); err != nil {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -32,6 +32,6 @@
 type Visits interface {
 	Ready() bool // false before the start and at the end
 	UseCase(name []byte) (decide.UseCaseID, bool)
-	Arrive(from Client, no uint64, ask *Ask)
+	Arrive(from Client, no uint64, ask *Ask) bool // false: its mark is that of a visit in hand, and it is not taken
 	Left(v decide.VisitID)
 }
--- a/internal/front/rpc.go
+++ b/internal/front/rpc.go
@@ -24,24 +24,28 @@
 	idle    time.Duration
 	conns   map[*caller]struct{}
 	crowded bool
+	room    int // bytes that clients may have held of each kind: the two below, and answers unread
 	held    int // bytes of unfinished requests
 	bodies  int // bytes of requests that are owed an answer
+	told    time.Time
+	untold  int // connections closed for their clients' faults since then, without a line
 	ask     Ask
 	head    []byte
 	tail    []byte
 }
 
-// NewRPC makes the front. A client is cut off that leaves more than backlog bytes unread, that all clients together
-// may leave a few times over, or reads nothing for the idle time; where there are too many connections, those go
-// first that have been idle longest.
-func NewRPC(e *sockets.Engine, log *logrus.Logger, v Visits, backlog, most int, idle time.Duration) *RPC {
-	return &RPC{engine: e, log: log, visits: v, backlog: backlog, most: most, idle: idle,
-		conns: map[*caller]struct{}{}}
+// NewRPC makes the front. A client is cut off that leaves more than backlog bytes unread or reads nothing for the idle
+// time; room is what all of them together may leave unread, and also what they may have held of unfinished requests,
+// and of bodies. Where there are too many connections, those go first that have been idle longest.
+func NewRPC(e *sockets.Engine, log *logrus.Logger, v Visits, backlog, room, most int, idle time.Duration) *RPC {
+	f := &RPC{engine: e, log: log, visits: v, conns: map[*caller]struct{}{}}
+	f.Bound(backlog, room, most, idle)
+	return f
 }
 
 // Bound changes what clients are held to.
-func (f *RPC) Bound(backlog, most int, idle time.Duration) {
-	f.backlog, f.most, f.idle = backlog, most, idle
+func (f *RPC) Bound(backlog, room, most int, idle time.Duration) {
+	f.backlog, f.room, f.most, f.idle = backlog, room, most, idle
 }
 
 // Accept makes the object behind a client's connection.
@@ -62,7 +66,7 @@
 			f.log.WithField("connections", len(f.conns)).Warn("front: crowded, idle connections are closed")
 		}
 	}
-	o := &caller{front: f, conn: c, used: now, moved: now}
+	o := &caller{front: f, conn: c, used: now, moved: now, since: now}
 	f.conns[o] = struct{}{}
 	return o
 }
@@ -85,6 +89,9 @@
 		case unread > f.backlog || now.Sub(c.moved) > f.idle:
 			c.cut(errUnread)
 			continue
+		case !c.since.IsZero() && now.Sub(c.since) > sayWithin:
+			c.cut(errSilent)
+			continue
 		case len(c.open) == 0 && unread == 0 && now.Sub(c.used) > f.idle:
 			c.cut(errIdle)
 			continue
@@ -93,7 +100,7 @@
 			worst, most = c, unread
 		}
 	}
-	if total > backlogs*f.backlog { // wards off many slow readers that fill the memory together
+	if total > f.room { // wards off many slow readers that fill the memory together
 		worst.cut(errUnread)
 	}
 }
@@ -117,8 +124,10 @@
 	conn  *sockets.Conn
 	in    sockets.Inbox
 	open  []asked
+	said  bool      // a whole message, in what has just come
 	last  uint64    // number given to a request
 	used  time.Time // last request
+	since time.Time // it owes the rest of a request since, or its first; zero: it owes none
 	moved time.Time // last time that the client read, or had nothing to read
 	sent  int64
 }
@@ -140,13 +149,12 @@
 
 const (
 	messageMost = 1 << 20 // what is too large, but not absurd, gets an answer
-	heldMost    = 24 << 20
-	bodiesMost  = 32 << 20
-	backlogs    = 5
 	bodyMost    = 48_000
 	spareOf     = 4096 // a request without a body is shorter
-	openMost    = 64   // twice what clients keep to
+	openMost    = 32
 	tagMost     = 64
+	sayWithin   = 2500 * time.Millisecond // a request begun is whole, and the first one has come
+	tellEvery   = time.Second
 )
 
 var (
@@ -154,6 +162,8 @@
 	errSameID   = errors.New("an id that is open already")
 	errTooMany  = errors.New("too many open requests")
 	errUnread   = errors.New("answers left unread")
+	errSilent   = errors.New("no whole request in time")
+	errSameMark = errors.New("a visit's mark that is open already")
 	errIdle     = errors.New("idle")
 	errCrowded  = errors.New("idle among too many")
 	errHeld     = errors.New("unfinished requests fill the memory")
@@ -170,10 +180,17 @@
 	c.used = time.Now()
 	c.front.held -= c.in.Len()
 	defer func() { c.front.held += c.in.Len() }()
+	c.said = false
 	if err := c.in.Take(c.front.engine, b, c); err != nil {
 		return err
 	}
-	if n := c.in.Len(); n > spareOf && c.front.held+n > heldMost { // wards off a flood of halves of large requests
+	switch { // bytes alone buy no time: wards off clients that say a request drop by drop
+	case c.in.Len() == 0:
+		c.since = time.Time{}
+	case c.said || c.since.IsZero():
+		c.since = c.used
+	}
+	if n := c.in.Len(); n > spareOf && c.front.held+n > c.front.room { // wards off a flood of halves of large requests
 		return errHeld
 	}
 	return nil
@@ -188,6 +205,7 @@
 	if err != nil {
 		return 0, err
 	}
+	c.said = true
 	return n, c.message(b[:n])
 }
 
@@ -236,7 +254,7 @@
 		c.refuse(id, err)
 		return nil
 	}
-	if n := len(ask.Body); n > 0 && c.front.bodies+n > bodiesMost { // wards off a flood of writes that fills the memory
+	if n := len(ask.Body); n > 0 && c.front.bodies+n > c.front.room { // wards off a flood of writes that fills the memory
 		c.fault(id, "Shed", "why", "") // none of it has gone anywhere
 		return nil
 	}
@@ -244,7 +262,10 @@
 	c.open = append(c.open, asked{id: id, no: c.last, body: len(ask.Body)})
 	c.front.owed++
 	c.front.bodies += len(ask.Body)
-	c.front.visits.Arrive(c, c.last, ask)
+	if !c.front.visits.Arrive(c, c.last, ask) {
+		c.drop(len(c.open) - 1)
+		c.refuse(id, errSameMark)
+	}
 	return nil
 }
 
@@ -347,7 +368,7 @@
 	c.front.held -= c.in.Len()
 	c.in.Drop(c.front.engine)
 	if !errors.Is(err, errIdle) && !errors.Is(err, errCrowded) && sockets.Ours(err) {
-		c.front.log.WithError(err).WithField("client", c.conn).Warn("front: connection closed")
+		c.front.tell(c, err)
 	}
 	open := c.open
 	c.open = nil
@@ -358,6 +379,16 @@
 	}
 }
 
+// tell logs a client's fault, at most one a second: a flood of them is not to fill the log.
+func (f *RPC) tell(c *caller, err error) {
+	if now := time.Now(); now.Sub(f.told) >= tellEvery {
+		f.log.WithError(err).WithFields(logrus.Fields{"client": c.conn, "untold": f.untold}).Warn("front: connection closed")
+		f.told, f.untold = now, 0
+		return
+	}
+	f.untold++
+}
+
 // Assigned ties the router's name for a visit to its request.
 func (c *caller) Assigned(no uint64, v decide.VisitID) {
 	for i := range c.open {
--- a/internal/front/rpc_test.go
+++ b/internal/front/rpc_test.go
@@ -22,35 +22,99 @@
 
 func (d *desk) Ready() bool                             { return true }
 func (d *desk) UseCase([]byte) (decide.UseCaseID, bool) { return 0, true }
-func (d *desk) Arrive(c Client, _ uint64, _ *Ask) {
+func (d *desk) Arrive(c Client, _ uint64, _ *Ask) bool {
 	if d.taken++; d.first == nil {
 		d.first = c
 	}
+	return true
 }
 func (d *desk) Left(decide.VisitID) { d.left++ }
 
-// Writes beyond what the memory is to hold are deferred at once; clients that go give their part back.
-func TestWritesFlood(t *testing.T) {
+// open starts a front of 100 clients, with room for so many of their bytes.
+func open(t *testing.T, d *desk, room int) (e *sockets.Engine, rpc *RPC, door string) {
+	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	e, err := sockets.New(log, 256)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer e.Stop()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	door := l.Addr().String()
+	door = l.Addr().String()
 	l.Close()
-	d := &desk{}
-	rpc := NewRPC(e, log, d, 1<<20, 100, time.Minute)
+	rpc = NewRPC(e, log, d, 1<<20, room, 100, time.Minute)
 	e.Bound(100)
 	if err := e.Listen(door, rpc.Accept); err != nil {
 		t.Fatal(err)
 	}
-	const asked, fit = 13 * openMost, bodiesMost / bodyMost
+	return e, rpc, door
+}
+
+// A client that says nothing, or half a request drop by drop, holds a place for a moment only; one that has asked may
+// be idle for longer.
+func TestSilentClients(t *testing.T) {
+	d := &desk{}
+	e, rpc, door := open(t, d, 1<<20)
+	defer e.Stop()
+	var clients [4]*standin.Client
+	for i := range clients {
+		var err error
+		if clients[i], err = standin.Connect(door); err != nil {
+			t.Fatal(err)
+		}
+	}
+	whole := standin.Request(1, "page", standin.Visit(1, "00000000000000aa", time.Second), nil)
+	clients[1].Write(whole[:20])
+	clients[2].Write(append(whole, whole[:20]...)) // a whole one, and a part
+	clients[3].Write(whole)
+	beat := func(after time.Duration) { e.Do(func() { rpc.Beat(time.Now().Add(after)) }) }
+	for i, taken, began := 0, 0, 0; taken < 2 || began < 2; i++ {
+		if i > 5000 {
+			t.Fatalf("%d taken, %d began", taken, began)
+		}
+		time.Sleep(time.Millisecond)
+		e.Do(func() {
+			taken, began = d.taken, 0
+			for c := range rpc.conns {
+				if c.in.Len() > 0 {
+					began++
+				}
+			}
+		})
+	}
+	beat(sayWithin / 2)
+	clients[1].Write(whole[20:30]) // a few bytes more buy no time
+	time.Sleep(5 * time.Millisecond)
+	beat(sayWithin - 500*time.Millisecond)
+	var held int
+	e.Do(func() { held = len(rpc.conns) })
+	if held != 4 {
+		t.Errorf("%d of 4 left too early", held)
+	}
+	beat(sayWithin + time.Millisecond)
+	for i, c := range clients[:3] {
+		select {
+		case <-c.Ended():
+		case <-time.After(10 * time.Second):
+			t.Fatalf("client %d holds its place", i)
+		}
+	}
+	e.Do(func() { held = len(rpc.conns) })
+	if held != 1 {
+		t.Errorf("%d left, not the one that has asked", held)
+	}
+}
+
+// Writes beyond what the memory is to hold are deferred at once; clients that go give their part back.
+func TestWritesFlood(t *testing.T) {
+	const room = 10 << 20
+	d := &desk{}
+	e, rpc, door := open(t, d, room)
+	defer e.Stop()
+	const asked, fit = 13 * openMost, room / bodyMost
 	var clients []*standin.Client
 	shed := make(chan string, asked)
 	for i := 0; i < 13; i++ {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -33,8 +33,9 @@
 	ends    []ended // told to the module at the end of the callback, never from within its own calls
 	told    int     // of them
 	alarms  alarms
-	rung    chan struct{} // wakes the timer for an earlier alarm
-	armed   decide.Micros // what the timer waits for
+	rung    chan struct{}           // wakes the timer for an earlier alarm
+	armed   decide.Micros           // what the timer waits for
+	marks   map[front.Mark]struct{} // of the visits in hand
 	caches  map[string]decide.CacheID
 	listed  []cache // by CacheID
 	list    []decide.Listed
@@ -81,7 +82,7 @@
 // New makes a service that is not yet running; Attach is to follow.
 func New(e *sockets.Engine, log *logrus.Logger) *Service {
 	s := &Service{engine: e, log: log, start: time.Now(), rung: make(chan struct{}, 1),
-		caches: map[string]decide.CacheID{}}
+		caches: map[string]decide.CacheID{}, marks: map[front.Mark]struct{}{}}
 	e.After = s.settle
 	return s
 }
@@ -223,8 +224,12 @@
 // UseCase finds a use case by its name.
 func (s *Service) UseCase(name []byte) (decide.UseCaseID, bool) { return s.names.UseCase(name) }
 
-// Arrive takes a visit from a front.
-func (s *Service) Arrive(from front.Client, no uint64, ask *front.Ask) {
+// Arrive takes a visit from a front. One that bears the mark of a visit in hand is not taken: caches know visits by
+// their marks, and would take the one for the other.
+func (s *Service) Arrive(from front.Client, no uint64, ask *front.Ask) bool {
+	if _, open := s.marks[ask.Mark]; open {
+		return false
+	}
 	p := &s.parked
 	*p = charge{client: from, no: no, ask: *ask}
 	if n := len(ask.Body) + len(ask.Have); n > 0 {
@@ -236,6 +241,7 @@
 	s.router.Arrive(decide.Asked{UseCase: ask.Case, Object: decide.ObjectID(mix.Name(string(ask.Object[:]))),
 		Part: ask.Part, Group: ask.Group, Tenant: -1, Left: ask.Patience, KB: ask.KB})
 	s.arrived = nil
+	return true
 }
 
 // Left hears that a visit's client has gone.
@@ -255,6 +261,7 @@
 	out := c.out[:0]
 	*c = *s.arrived
 	c.visit, c.out = v, out
+	s.marks[c.ask.Mark] = struct{}{}
 	c.client.Assigned(c.no, v)
 }
 
@@ -330,6 +337,7 @@
 // Release forgets a visit.
 func (s *Service) Release(v decide.VisitID) {
 	if c := s.charge(v); c != nil {
+		delete(s.marks, c.ask.Mark)
 		s.engine.Done(c.bytes)
 		*c = charge{out: c.out[:0]}
 	}
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -541,6 +541,84 @@
 	}
 }
 
+// A visit under the mark of one in hand, from whatever client and for whatever object, is turned away before any cache
+// hears of it: a cache would take the one for the other. Once the first is over the mark is free.
+func TestMarkInHand(t *testing.T) {
+	release := make(chan struct{})
+	b := open(t, func(_ *standin.Cache, g *standin.Get) *standin.Reply {
+		<-release
+		return &standin.Reply{Word: "data", Body: []byte(g.Fields["path"])}
+	})
+	defer b.close()
+	first := b.ask("page", object, 5*time.Second, nil)
+	b.until("the first at a cache", func() bool { return len(b.edges()) == 1 })
+	other := b.connect()
+	defer other.Close()
+	twin := standin.Visit(b.traces, "00000000000000bb", 5*time.Second)
+	_, ch := other.Ask("page", twin, nil)
+	if a := b.wait(ch); a.Error != "Fault" {
+		t.Errorf("the second under one mark: %+v", a)
+	}
+	close(release)
+	if a := b.wait(first); string(a.Body) != object {
+		t.Errorf("the first: %+v", a)
+	}
+	if n := len(b.edges()); n != 1 {
+		t.Errorf("%d requests at caches", n)
+	}
+	_, ch = other.Ask("page", twin, nil)
+	if a := b.wait(ch); string(a.Body) != "00000000000000bb" {
+		t.Errorf("after the first is over: %+v", a)
+	}
+}
+
+// An answer that stops midway holds up whatever follows on its connection: the connection ends, and the visit is tried
+// elsewhere in time. A trip given up before that leaves the connection to nobody.
+func TestAnswerStops(t *testing.T) {
+	var mu sync.Mutex
+	stops := 1
+	b := open(t, func(_ *standin.Cache, g *standin.Get) *standin.Reply {
+		mu.Lock()
+		defer mu.Unlock()
+		if stops--; stops >= 0 || g.Fields["queue"] == "order" {
+			_, _ = io.WriteString(g.Conn, "*4\r\n$16\r\n"+g.ID+"\r\n$4\r\nda")
+			return nil
+		}
+		return &standin.Reply{Word: "data", Body: []byte("whole")}
+	})
+	defer b.close()
+	stuck := b.ask("page", object, 6*time.Second, nil)
+	b.until("an answer after the one that stopped", func() bool { // its cache answers others meanwhile
+		b.wait(b.ask("page", object, time.Second, nil))
+		select {
+		case a := <-stuck:
+			if string(a.Body) != "whole" {
+				t.Errorf("behind an answer that stopped: %+v", a)
+			}
+			return true
+		case <-time.After(20 * time.Millisecond):
+			return false
+		}
+	})
+	if a := b.wait(b.ask("order", object, 600*time.Millisecond, []byte("x"))); a.Error != "Fault" {
+		t.Errorf("half an answer to what must not run twice: %+v", a)
+	}
+	for range 4 {
+		if a := b.wait(b.ask("page", object, 6*time.Second, nil)); string(a.Body) != "whole" {
+			t.Errorf("after it: %+v", a)
+		}
+	}
+	for _, c := range []string{"edge-1", "edge-2"} {
+		ended := map[net.Conn]bool{}
+		for _, g := range b.caches[c].Gets() {
+			if ended[g.Conn] {
+				t.Error("a connection with half an answer was used again")
+			}
+			ended[g.Conn] = g.Fields["queue"] == "order"
+		}
+	}
+}
+
 // The word to end: what has come is answered, what still comes too, and only then is it over.
 func TestLeave(t *testing.T) {
 	b := open(t, func(_ *standin.Cache, g *standin.Get) *standin.Reply {
--- a/internal/service/start.go
+++ b/internal/service/start.go
@@ -24,11 +24,12 @@
 }
 
 const (
-	serveOn   = 800 * time.Millisecond // clients go on coming for a while after the word to end
-	quietFor  = 40 * time.Millisecond  // all answered for so long
-	askAfter  = time.Second            // a cache that has said nothing for so long is asked whether it is there
-	doorway   = 4
-	idleShare = 5 // idle connections are closed this part of the time before the other side does
+	serveOn    = 800 * time.Millisecond // clients go on coming for a while after the word to end
+	quietFor   = 40 * time.Millisecond  // all answered for so long
+	askAfter   = time.Second            // a cache that has said nothing for so long is asked whether it is there
+	doorway    = 4
+	spareShare = 2 // of the room for clients' bytes: buffers kept for reuse
+	idleShare  = 5 // idle connections are closed this part of the time before the other side does
 )
 
 // Start makes a router of its parts and opens its doors.
@@ -37,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	clients, caches, each, backlog, clientIdle, err := file.Pools()
+	clients, caches, each, backlog, room, clientIdle, err := file.Pools()
 	if err != nil {
 		return nil, err
 	}
@@ -60,13 +61,14 @@
 	}
 	yard := trips.New(engine, log, desk, caches, each, streams, span(connect), span(idle-idle/idleShare), askAfter)
 	poll := bulletin.New(engine, log, desk, file.Board, wait, slack)
-	rpc := front.NewRPC(engine, log, desk, backlog, clients, clientIdle)
+	rpc := front.NewRPC(engine, log, desk, backlog, room, clients, clientIdle)
 	desk.Attach(router, names, yard, poll, rpc.Beat)
 	engine.Do(func() { err = poll.Known(file.Known) })
 	if err != nil {
 		return nil, file.Fault(fmt.Errorf("key 'known': %w", err))
 	}
 	engine.Bound(atDoor(clients))
+	engine.Spare(room / spareShare)
 	if err := engine.Listen(file.Listen, rpc.Accept); err != nil {
 		return nil, fmt.Errorf("listening on %s: %w", file.Listen, err)
 	}
@@ -85,11 +87,12 @@
 	if err := file.Check(); err != nil {
 		return err
 	}
-	clients, caches, each, backlog, idle, _ := file.Pools()
+	clients, caches, each, backlog, room, idle, _ := file.Pools()
 	wait, slack, _ := file.Polls()
 	r.engine.Do(func() {
 		r.engine.Bound(atDoor(clients))
-		r.rpc.Bound(backlog, clients, idle)
+		r.rpc.Bound(backlog, room, clients, idle)
+		r.engine.Spare(room / spareShare)
 		r.desk.yard.Bound(caches, each)
 		r.desk.poll.Move(file.Board, wait, slack)
 	})
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -56,6 +56,7 @@
 	dialing []*Conn
 	free    [][]byte
 	spare   int // bytes in free
+	keep    int // that may be in free
 	After   func()
 }
 
@@ -74,7 +75,6 @@
 const (
 	sendBuffer   = 1 << 18 // takes a whole request at once
 	readBuffer   = 1 << 16
-	spareMost    = 16 << 20
 	spareLeast   = 1 << 12
 	spareLargest = 1 << 19
 )
@@ -99,6 +99,9 @@
 // Bound sets how many accepted connections there may be at a time; one too many is closed at once.
 func (e *Engine) Bound(most int) { e.most.Store(int32(most)) }
 
+// Spare sets how many bytes of buffers are kept for reuse.
+func (e *Engine) Spare(most int) { e.keep = most }
+
 // Listen accepts connections at an address, within the bound that is set.
 func (e *Engine) Listen(address string, accept func(*Conn) Owner) error {
 	l, err := net.Listen("tcp", address)
@@ -364,7 +367,7 @@
 
 // Done takes a buffer back.
 func (e *Engine) Done(b []byte) {
-	if cap(b) >= spareLeast && cap(b) <= spareLargest && e.spare+cap(b) <= spareMost {
+	if cap(b) >= spareLeast && cap(b) <= spareLargest && e.spare+cap(b) <= e.keep {
 		e.free = append(e.free, b)
 		e.spare += cap(b)
 	}
--- a/internal/trips/trips.go
+++ b/internal/trips/trips.go
@@ -141,6 +141,8 @@
 	heard  time.Time // last byte that came
 }
 
+var errStuck = errors.New("an answer that stopped midway")
+
 var lineEnd = []byte("\r\n")
 
 const (
@@ -297,8 +299,9 @@
 			}
 			reach := max(l.reach(&o), Sent) // on a connection that lives on, its bytes still go out
 			l.given = append(l.given, o.id)
-			// A connection that has said nothing all the while may be dead: it gets no more trips.
-			l.closed = l.closed || len(l.given) >= givenMost || l.heard.Before(o.set)
+			// A connection that has said nothing all the while may be dead, and behind a part of an answer all others
+			// wait: it gets no more trips.
+			l.closed = l.closed || len(l.given) >= givenMost || l.heard.Before(o.set) || l.in.Len() > 0
 			l.conn.Send(resp.AppendWord(resp.AppendWord(resp.AppendArray(nil, 2), "DROP"), o.id[:]))
 			l.rest()
 			return reach
@@ -423,7 +426,11 @@
 			continue
 		}
 		for i := len(p.links) - 1; i >= 0; i-- {
-			if l := p.links[i]; l.conn.Up() && len(l.open) == 0 && now.Sub(l.used) > y.idle {
+			switch l := p.links[i]; {
+			case l.in.Len() > 0 && now.Sub(l.heard) > y.ask: // wards off waiting behind an answer that never ends
+				l.conn.Close()
+				l.Closed(errStuck)
+			case l.conn.Up() && len(l.open) == 0 && now.Sub(l.used) > y.idle:
 				l.shut()
 			}
 		}
