A connection reset when new shows a cache that is there: no rest, no cold budget

There was no "connection refused" at all.

At fault: trips.link.Closed worded every end before the connection was seen to stand as Unconnected, which the module hears as NoRoute and takes for a death: a rest, then a just-started cache's part for the whole ramp. A reset proves that somebody took the connection, and as no byte was taken that nothing ran. It is now Unsent (NeverSent), which blames nobody; a trip that was never sent may also be followed by another in a crowd, as it cost nothing there.

Ruled out: the link and the origin (their limits were cut later, by the few caches' crowd); a process that dies still refuses its next connection.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -253,7 +253,7 @@
 
 // further decides after a trip that did not deliver.
 func (r *Router) further(v *visit, t *trip, end Ending) {
-	idle := end == Lacking || end == NoRoute // costs little and says nothing of a crowd
+	idle := end == Lacking || end == NoRoute || end == NeverSent // costs little and says nothing of a crowd
 	if v.n >= min(tripsMost, r.leave.Trips) || r.now >= v.ends || r.heavy && !idle || !r.mayRepeat(v) {
 		r.giveUp(v)
 		return
--- a/internal/trips/trips.go
+++ b/internal/trips/trips.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"errors"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -187,6 +188,9 @@
 // Bound changes how many connections there may be, in all and to one cache.
 func (y *Yard) Bound(most, each int) { y.most, y.each = most, each }
 
+// Pools counts the caches that have, or had, connections.
+func (y *Yard) Pools() int { return len(y.pools) }
+
 // Open counts the connections.
 func (y *Yard) Open() int { return y.open }
 
@@ -356,6 +360,9 @@
 	ends := make([]*Fault, len(l.open))
 	for i := range l.open {
 		ends[i] = &Fault{l.reach(&l.open[i]), err}
+		if ends[i].Reach == Unconnected && errors.Is(err, syscall.ECONNRESET) {
+			ends[i].Reach = Unsent // somebody took the connection and ended it: the cache is there
+		}
 	}
 	open := l.open
 	l.open = nil
--- a/internal/trips/trips_test.go
+++ b/internal/trips/trips_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -150,3 +151,22 @@
 		}
 	}
 }
+
+// ends notes how far trips had come.
+type ends []Reach
+
+func (h *ends) Ended(_ Ticket, e *End) { *h = append(*h, e.Fault.Reach) }
+
+// A connection reset when it is new was taken by a cache that is there; only one that never came up shows it gone. Taken
+// for the same, a few resets had healthy caches rest, and sent them a just-started cache's part for long after.
+func TestResetWhenNew(t *testing.T) {
+	var h ends
+	y := New(nil, nil, &h, 1, 1, 1, 0, 0, 0)
+	for _, err := range []error{syscall.ECONNRESET, syscall.ECONNREFUSED, io.EOF} {
+		l := &link{yard: y, pool: &pool{}, conn: &sockets.Conn{}, open: []trip{{end: 9}}}
+		l.Closed(&sockets.Theirs{Err: err})
+	}
+	if len(h) != 3 || h[0] != Unsent || h[1] != Unconnected || h[2] != Unconnected {
+		t.Errorf("reaches %v", h)
+	}
+}
