The id of a cache that is gone goes to another once no visit in hand has been there

Now a new cache takes the number of one that is gone, unless a visit in hand has been there or had it as its source, be that trip over or not. The module begins it anew (Listed.Anew): no rest, no limit and no copy is carried over. An unknown cache that is told of as removed gets no number.

--- a/decide/api.go
+++ b/decide/api.go
@@ -8,7 +8,7 @@
 	Micros int64
 	// VisitID names a visit in hand, from Arrive until Desk.Release.
 	VisitID = slab.Handle
-	// CacheID numbers a cache, parent or origin in the order this router was told of them, from 0.
+	// CacheID numbers a cache, parent or origin, from 0. One that is gone leaves its number to another: see Listed.Anew.
 	CacheID int32
 	// ObjectID is a well-mixed hash of an object's name.
 	ObjectID uint64
@@ -118,6 +118,7 @@
 	Weight   float64
 	Started  Micros // 0: long ago
 	Standing Standing
+	Anew     bool // its id was another's, which is gone and which nothing refers to any more
 }
 
 // Asked is a visit as it arrives.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -432,6 +432,32 @@
 	}
 }
 
+// Under the id of a cache that is gone another begins with nothing of it: not its rest, nor the copies it held.
+func TestAnotherUnderAnOldID(t *testing.T) {
+	d := bench(plainLeave)
+	d.arrive(video(1))
+	at := d.out[0].Cache
+	d.end(0, Report{Ending: Delivered, Trace: Filled, Elapsed: 100 * ms})
+	d.arrive(video(1))
+	d.end(0, Report{Ending: Delivered, Trace: Hit, Elapsed: 50 * ms})
+	c := &d.r.caches[at]
+	d.r.strike(c, false)
+	c.fails, c.late.Mean = 2, 1
+	x := fleet()[at]
+	x.Standing = Gone
+	d.list(x)
+	x.Standing, x.Anew, x.Mark = Up, true, 77
+	d.list(x)
+	if c.strikes+c.fails > 0 || c.restUntil > 0 || c.late.Mean > 0 || !c.listed || c.Mark != 77 {
+		t.Errorf("%+v", c)
+	}
+	d.r.ledger.objects.Each(func(o *object) {
+		if o.kept == at {
+			t.Error("a copy is taken to lie at a cache that never saw it")
+		}
+	})
+}
+
 // still is a desk that takes results and keeps only the last visit.
 type still struct{ v VisitID }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -216,7 +216,11 @@
 			r.caches = append(r.caches, anew)
 		}
 		c := &r.caches[x.ID]
-		if x.Started != c.told { // a new process: what was learned of the old one is void
+		if x.Anew {
+			*c = anew
+			c.told = x.Started
+			r.ledger.forget(x.ID)
+		} else if x.Started != c.told { // a new process: what was learned of the old one is void
 			was := *c
 			*c = anew
 			c.trips.inUse, c.fills.inUse, c.quick, c.told = was.trips.inUse, was.fills.inUse, was.quick, x.Started
@@ -231,6 +235,15 @@
 	r.sort()
 }
 
+// forget drops what was learned of copies at a cache that is gone: its id is another's now.
+func (l *ledger) forget(id CacheID) {
+	l.objects.Each(func(o *object) {
+		if o.kept == id {
+			o.kept = NoCache
+		}
+	})
+}
+
 // sort finds the branch's caches, the parents and the origin on the list.
 func (r *Router) sort() {
 	r.edges, r.parents, r.origin, r.weight = r.edges[:0], r.parents[:0], NoCache, 0
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -65,10 +65,10 @@
 
 // out is a trip under way.
 type out struct {
-	trip  decide.TripNo
-	cache decide.CacheID
-	sent  decide.Micros
-	over  bool
+	trip          decide.TripNo
+	cache, source decide.CacheID
+	sent          decide.Micros
+	over          bool
 }
 
 // ended is a trip's end on its way to the module.
@@ -269,7 +269,7 @@
 func (s *Service) Send(v decide.VisitID, e decide.Errand) {
 	c := s.charge(v)
 	n := decide.TripNo(len(c.out))
-	c.out = append(c.out, out{trip: n, cache: e.Cache, sent: s.now})
+	c.out = append(c.out, out{trip: n, cache: e.Cache, source: e.Source, sent: s.now})
 	get := trips.Get{Case: s.names.UseCases[c.ask.Case], Object: c.ask.Object, ID: c.ask.Mark, Part: c.ask.Part,
 		Budget: e.Until - s.now, Rank: e.Rank, Oldest: e.Oldest, Join: e.Join, Held: e.HeldOnly, Renew: e.Renew,
 		Have: c.ask.Have}
@@ -359,18 +359,24 @@
 		for i := range s.listed {
 			s.listed[i].removed = true
 		}
+		for _, x := range list { // before any id of one that stays could go to another
+			if id, ok := s.caches[x.Name]; ok {
+				s.listed[id].removed = false
+			}
+		}
 	}
 	for _, x := range list {
 		id, ok := s.caches[x.Name]
-		if !ok {
-			id = decide.CacheID(len(s.listed))
-			s.caches[x.Name] = id
-			s.listed = append(s.listed, cache{name: x.Name})
+		another := false
+		if !ok && x.State == bulletin.Removed {
+			continue
+		} else if !ok {
+			id, another = s.number(x.Name)
 			s.log.WithFields(logrus.Fields{"cache": id, "uid": x.Name, "endpoint": x.Address, "kind": x.Kind}).
 				Info("cache listed")
 		}
 		c := &s.listed[id]
-		anew := c.boot != x.Started
+		anew := another || c.boot != x.Started
 		if anew {
 			c.started = 0
 			if x.Started > 0 {
@@ -383,7 +389,7 @@
 		}
 		s.list = append(s.list, decide.Listed{ID: id, Mark: mix.Name(x.Name), Tier: s.names.Tier(x.Kind),
 			Zone: s.names.Zone(x.Zone), Cell: decide.CellID(x.Cell), Weight: x.Weight,
-			Started: c.started, Standing: standings[x.State]})
+			Started: c.started, Standing: standings[x.State], Anew: another})
 	}
 	for id, c := range s.listed {
 		if c.removed {
@@ -395,6 +401,35 @@
 	s.router.List(s.list, whole)
 }
 
+// number gives a new cache its id, if it can that of one that is gone: else a long day's replacements would fill the
+// memory, here, in the module and in the yard.
+func (s *Service) number(name string) (id decide.CacheID, another bool) {
+	for i := range s.listed {
+		if c := &s.listed[i]; c.removed && !s.refers(decide.CacheID(i)) {
+			delete(s.caches, c.name)
+			*c = cache{name: name}
+			s.caches[name] = decide.CacheID(i)
+			return decide.CacheID(i), true
+		}
+	}
+	s.caches[name] = decide.CacheID(len(s.listed))
+	s.listed = append(s.listed, cache{name: name})
+	return s.caches[name], false
+}
+
+// refers tells whether a visit in hand has been at a cache, or had it as its source, be that trip over or not: the
+// module goes by where a visit has been.
+func (s *Service) refers(id decide.CacheID) bool {
+	for i := range s.charges {
+		for _, o := range s.charges[i].out {
+			if o.cache == id || o.source == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 var standings = [...]decide.Standing{decide.Up, decide.Draining, decide.Gone}
 
 // Recalled takes a purge from the bulletin.
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -619,6 +619,63 @@
 	}
 }
 
+// Caches replaced by others all day long, some at the address of one that has gone: ids and pools come to no more than
+// there are at a time. An id that a visit in hand has been to stays that cache's: the visit would be taken to have been
+// at a machine it never saw.
+func TestReplacedCaches(t *testing.T) {
+	hold := make(chan struct{})
+	b := open(t, func(_ *standin.Cache, g *standin.Get) *standin.Reply {
+		if g.Fields["path"] != object {
+			<-hold
+		}
+		return &standin.Reply{Word: "data", Body: []byte("here")}
+	})
+	defer b.close()
+	ids := func() (n, pools int) {
+		b.router.engine.Do(func() { n, pools = len(b.router.desk.listed), b.router.desk.yard.Pools() })
+		return n, pools
+	}
+	id := func(name string) (id decide.CacheID) {
+		b.until("heard of "+name, func() (ok bool) {
+			b.router.engine.Do(func() { id, ok = b.router.desk.caches[name] })
+			return ok
+		})
+		return id
+	}
+	held := b.ask("page", "00000000000000bb", 5*time.Second, nil)
+	b.until("the held one at a cache", func() bool { return len(b.edges()) == 1 })
+	at := "edge-1"
+	if len(b.caches[at].Gets()) == 0 {
+		at = "edge-2"
+	}
+	was := id(at)
+	last := at
+	for i := range 30 {
+		name := fmt.Sprint("later-", i)
+		address := b.caches[at].Address() // that of one that has gone
+		b.board.Roster(false, standin.Line(last, address, "branch", "cache", "removed", 0),
+			standin.Line(name, address, "branch", "cache", "up", 0))
+		if id(name) == was {
+			t.Fatalf("%s has the id of %s, which a visit in hand has been to", name, at)
+		}
+		if a := b.wait(b.ask("page", object, time.Second, nil)); string(a.Body) != "here" {
+			t.Fatalf("after %s: %+v", name, a)
+		}
+		last = name
+	}
+	if n, pools := ids(); n > 6 || pools > 6 {
+		t.Errorf("%d ids and %d pools for 4 caches, one replaced 30 times", n, pools)
+	}
+	close(hold)
+	if a := b.wait(held); string(a.Body) != "here" {
+		t.Errorf("the held one: %+v", a)
+	}
+	b.board.Roster(false, standin.Line("last", b.caches[at].Address(), "branch", "cache", "up", 0))
+	if got := id("last"); got != was {
+		t.Errorf("the last has id %d, not the %d that came free", got, was)
+	}
+}
+
 // The word to end: what has come is answered, what still comes too, and only then is it over.
 func TestLeave(t *testing.T) {
 	b := open(t, func(_ *standin.Cache, g *standin.Get) *standin.Reply {
