A time-out while few others are late is an answer gone missing, and blames nobody

A probe of trips over a second showed what had been taken for a jam: 28% of the ends at those caches were time-outs, of visits to kept copies and fetches alike, and the others came in time; another probe showed 44 of 68 of them on connections that had answered three times and more, so it is no matter of connections.

At fault: observe, case TooSlow, cut the limit of the source, fetches, link or cache for each, and counted it towards overload, which forbids further trips. A jam shows by good ends that are late before it shows by time-outs. So a time-out counts for nothing if its cache answered others meanwhile and under 5% of the good ends of the last six seconds were late.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -52,6 +52,7 @@
 	cutPause   = 300 * ms // one cut for one jam
 	lateMore   = 0.15     // share of late ends over the router's at which lateness is a cache's own
 	lateKeeps  = 6.0      // seconds
+	goneLate   = 0.05     // share of good ends that are late, below which a time-out is an answer gone missing
 
 	restFirst, restMost = 300 * ms, 4 * second
 
@@ -518,15 +519,6 @@
 	return c.bucket.Fill(seconds(r.now), rate*budgetRate, brim) >= r.cost(v)
 }
 
-// fits is how many transfers at full pace the branch's link takes, where told. Its caches together, and any
-// one parent, are taken to send that much at least: a link in is thinner than what stands at its ends.
-func (r *Router) fits() float64 {
-	if z := int(r.branch.Zone); z < len(r.branch.LinksKB) && r.branch.PaceKB > 0 {
-		return r.branch.LinksKB[z] / r.branch.PaceKB
-	}
-	return 0
-}
-
 // cost is a visit's weight in a cold budget: its use case's mean sending time.
 func (r *Router) cost(v *visit) float64 { return math.Max(r.work[v.UseCase], 0.001) }
 
@@ -543,7 +535,12 @@
 	// with a slow origin, caches that had more of them to wait for turned their hits away.
 	own := rep.Trace != FilledByOrigin && c.late.Mean > r.late.Mean+lateMore
 	waited := rep.Trace.IsFill() || rep.Trace == Joined
-	if rep.Ending == Delivered && !(waited && t.fetches) || rep.Ending == TooSlow && !t.fetches {
+	if rep.Ending == Delivered {
+		r.slow.Count(late, seconds(r.now), lateKeeps)
+	}
+	// An answer is missing if its cache answered others meanwhile and few are late: a jam shows by late ones.
+	gone := rep.Ending == TooSlow && r.slow.Mean < goneLate && c.lastGood > t.sent
+	if rep.Ending == Delivered && !(waited && t.fetches) || rep.Ending == TooSlow && !t.fetches && !gone {
 		c.late.Count(late, seconds(r.now), lateKeeps)
 		r.late.Count(late, seconds(r.now), lateKeeps)
 	}
@@ -585,6 +582,7 @@
 		}
 	case TooSlow:
 		switch {
+		case gone:
 		case t.mayFill && !own:
 			r.failedSource(src, t, false, false)
 			r.blame(t, false)
@@ -594,7 +592,7 @@
 			r.adjust(&c.trips, t, false)
 		}
 	}
-	r.trouble.Count(rep.Ending == Refused || rep.Ending == TooSlow, seconds(r.now), troubleKeeps)
+	r.trouble.Count(rep.Ending == Refused || rep.Ending == TooSlow && !gone, seconds(r.now), troubleKeeps)
 	if s := r.trouble.Mean; r.heavy != (s > troubleOn || r.heavy && s > troubleOff) {
 		r.heavy = !r.heavy
 		r.desk.Note(fmt.Sprintf("overload %v: %.2f of trips in trouble", r.heavy, s))
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -458,6 +458,34 @@
 	})
 }
 
+// Answers that go missing are no jam: where the others come in time, a time-out cuts no limit and is no overload. With a
+// part of all answers lost, limits had shrunk to one or two trips each. Where good ends are late too, it is a jam.
+func TestMissingAnswersAreNoJam(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		d := bench(plainLeave)
+		c := &d.r.caches[0]
+		d.r.fetch.inUse, d.r.caches[4].fills.inUse = 16, 16 // in use, or they would shrink unused
+		for i := range 300 {
+			d.r.Clock(d.r.now + 20*ms)
+			came := d.r.now - 400*ms
+			v := &visit{came: came, aim: came + second, ends: came + 3*second}
+			if late {
+				v.aim = came + 300*ms
+			}
+			fill := trip{cache: 0, source: 4, sent: came, mayFill: true, fetches: true}
+			if i%4 == 3 {
+				d.r.observe(v, &fill, Report{Ending: TooSlow, Elapsed: 3 * second})
+			} else {
+				d.r.observe(v, &fill, Report{Ending: Delivered, Trace: Filled, Elapsed: 400 * ms})
+			}
+		}
+		cut := d.r.fetch.most < fillsFirst/2 && d.r.caches[4].fills.most < fillsFirst/2
+		if cut != late || d.r.heavy != late || c.strikes > 0 {
+			t.Errorf("late %v: fetches %.1f, fills %.1f, overload %v", late, d.r.fetch.most, d.r.caches[4].fills.most, d.r.heavy)
+		}
+	}
+}
+
 // still is a desk that takes results and keeps only the last visit.
 type still struct{ v VisitID }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -137,6 +137,7 @@
 	weight   float64         // of the branch's caches together
 	door     Micros          // the quickest end of a trip yet
 	late     drift.Drift     // share of its trips' ends that were late, lately
+	slow     drift.Drift     // share of its good ends that were late, lately
 	lastFill Micros          // the last good fill from any source
 	trouble  drift.Drift     // share of trips that met a crowd
 	heavy    bool            // the router sees overload
@@ -244,6 +245,15 @@
 	})
 }
 
+// fits is how many transfers at full pace the branch's link takes, where told. Its caches together, and any
+// one parent, are taken to send that much at least: a link in is thinner than what stands at its ends.
+func (r *Router) fits() float64 {
+	if z := int(r.branch.Zone); z < len(r.branch.LinksKB) && r.branch.PaceKB > 0 {
+		return r.branch.LinksKB[z] / r.branch.PaceKB
+	}
+	return 0
+}
+
 // sort finds the branch's caches, the parents and the origin on the list.
 func (r *Router) sort() {
 	r.edges, r.parents, r.origin, r.weight = r.edges[:0], r.parents[:0], NoCache, 0
