--- a/internal/front/rpc.go
+++ b/internal/front/rpc.go
@@ -52,14 +52,8 @@
 func (f *RPC) Accept(c *sockets.Conn) sockets.Owner {
 	now := time.Now()
 	if len(f.conns) >= f.most {
-		var oldest *caller
-		for o := range f.conns {
-			if len(o.open) == 0 && o.unread() == 0 && (oldest == nil || o.used.Before(oldest.used)) {
-				oldest = o
-			}
-		}
-		if oldest != nil {
-			oldest.cut(errCrowded)
+		if c := f.idlest(); c != nil {
+			c.cut(errCrowded)
 		}
 		if !f.crowded {
 			f.crowded = true
@@ -71,6 +65,24 @@
 	return o
 }
 
+// idlest finds the connection to give up for a newcomer: the one idle longest, on which nothing has come. Under a flood
+// of connections a request may lie unread for long, and closing on it would lose it.
+func (f *RPC) idlest() *caller {
+	for range peeksMost {
+		var oldest *caller
+		for o := range f.conns {
+			if len(o.open) == 0 && o.unread() == 0 && (oldest == nil || o.used.Before(oldest.used)) {
+				oldest = o
+			}
+		}
+		if oldest == nil || !oldest.conn.Waiting() {
+			return oldest
+		}
+		oldest.used = time.Now() // about to be heard
+	}
+	return nil
+}
+
 // Beat cuts off clients that have left too much unread, or nothing has been heard of for long. It is called under
 // the lock, some tens of times a second.
 func (f *RPC) Beat(now time.Time) {
@@ -92,7 +104,7 @@
 		case !c.since.IsZero() && now.Sub(c.since) > sayWithin:
 			c.cut(errSilent)
 			continue
-		case len(c.open) == 0 && unread == 0 && now.Sub(c.used) > f.idle:
+		case len(c.open) == 0 && unread == 0 && now.Sub(c.used) > f.idle && !c.conn.Waiting():
 			c.cut(errIdle)
 			continue
 		}
@@ -155,6 +167,7 @@
 	tagMost     = 64
 	sayWithin   = 2500 * time.Millisecond // a request begun is whole, and the first one has come
 	tellEvery   = time.Second
+	peeksMost   = 8
 )
 
 var (
--- a/internal/front/rpc_test.go
+++ b/internal/front/rpc_test.go
@@ -108,6 +108,52 @@
 	}
 }
 
+// A newcomer takes the place of the longest idle, but not of one whose request lies unread in the kernel while the
+// poller is busy with another: that request would be lost.
+func TestUnreadRequestKeepsItsPlace(t *testing.T) {
+	d := &desk{}
+	e, rpc, door := open(t, d, 1<<20)
+	defer e.Stop()
+	var clients [3]*standin.Client
+	var callers [3]*caller
+	for i := range clients {
+		var err error
+		if clients[i], err = standin.Connect(door); err != nil {
+			t.Fatal(err)
+		}
+		for callers[i] == nil {
+			time.Sleep(time.Millisecond)
+			e.Do(func() {
+				for c := range rpc.conns {
+					if c != callers[0] && c != callers[1] {
+						callers[i] = c
+					}
+				}
+			})
+		}
+	}
+	whole := standin.Request(1, "page", standin.Visit(1, "00000000000000aa", time.Second), nil)
+	var first, second bool
+	e.Do(func() {
+		clients[2].Write(whole) // the poller has read it and waits for the lock
+		for callers[2].conn.Waiting() || !second {
+			time.Sleep(20 * time.Millisecond)
+			second = true
+		}
+		clients[0].Write(whole)
+		for i := 0; i < 5000 && !callers[0].conn.Waiting(); i++ {
+			time.Sleep(time.Millisecond)
+		}
+		rpc.most = 3
+		rpc.Accept(&sockets.Conn{})
+		_, first = rpc.conns[callers[0]]
+		_, second = rpc.conns[callers[1]]
+	})
+	if !first || second {
+		t.Errorf("the one with a request unread lives: %v; the idle one lives: %v", first, second)
+	}
+}
+
 // Writes beyond what the memory is to hold are deferred at once; clients that go give their part back.
 func TestWritesFlood(t *testing.T) {
 	const room = 10 << 20
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -305,6 +305,16 @@
 // Up tells whether the connection has been seen to stand: the kernel takes bytes only then.
 func (c *Conn) Up() bool { return c.accepted != nil || c.Sent() > 0 }
 
+// Waiting tells whether bytes have come that the poller has not read yet.
+func (c *Conn) Waiting() bool {
+	if c.over || c.nb == nil {
+		return false
+	}
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(c.nb.Hash(), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err == nil && n > 0
+}
+
 // Sent is how many of the bytes given to Send the kernel has taken; they may have arrived.
 func (c *Conn) Sent() int64 { return c.sent.Load() }
 
