One way to end a connection and tell its owner; one place for the engine's bounds

Read again, three things were said twice. Closing a connection and then calling its owner's Closed stood in the front (cut) and in the yard's Beat beside the engine's own fail, which does just that: it is Fail now, and the other two are gone. Start and Reload each set the engine's bounds: both call bound. The module's enter made a cache anew in two branches that differ by what is carried over: one now.

--- a/decide/state.go
+++ b/decide/state.go
@@ -217,14 +217,14 @@
 			r.caches = append(r.caches, anew)
 		}
 		c := &r.caches[x.ID]
-		if x.Anew {
-			*c = anew
-			c.told = x.Started
-			r.ledger.forget(x.ID)
-		} else if x.Started != c.told { // a new process: what was learned of the old one is void
+		if x.Anew || x.Started != c.told { // a new machine or process: what was learned of the old one is void
 			was := *c
 			*c = anew
-			c.trips.inUse, c.fills.inUse, c.quick, c.told = was.trips.inUse, was.fills.inUse, was.quick, x.Started
+			if c.told = x.Started; x.Anew {
+				r.ledger.forget(x.ID)
+			} else {
+				c.trips.inUse, c.fills.inUse, c.quick = was.trips.inUse, was.fills.inUse, was.quick
+			}
 		} else {
 			x.Started = c.Started
 		}
--- a/internal/front/rpc.go
+++ b/internal/front/rpc.go
@@ -53,7 +53,7 @@
 	now := time.Now()
 	if len(f.conns) >= f.most {
 		if c := f.idlest(); c != nil {
-			c.cut(errCrowded)
+			c.conn.Fail(errCrowded)
 		}
 		if !f.crowded {
 			f.crowded = true
@@ -99,13 +99,13 @@
 		}
 		switch {
 		case unread > f.backlog || now.Sub(c.moved) > f.idle:
-			c.cut(errUnread)
+			c.conn.Fail(errUnread)
 			continue
 		case !c.since.IsZero() && now.Sub(c.since) > sayWithin:
-			c.cut(errSilent)
+			c.conn.Fail(errSilent)
 			continue
 		case len(c.open) == 0 && unread == 0 && now.Sub(c.used) > f.idle && !c.conn.Waiting():
-			c.cut(errIdle)
+			c.conn.Fail(errIdle)
 			continue
 		}
 		if total += unread; unread > most {
@@ -113,7 +113,7 @@
 		}
 	}
 	if total > f.room { // wards off many slow readers that fill the memory together
-		worst.cut(errUnread)
+		worst.conn.Fail(errUnread)
 	}
 }
 
@@ -146,12 +146,6 @@
 
 func (c *caller) unread() int { return int(c.conn.Queued() - c.conn.Sent()) }
 
-// cut closes a connection for its client's fault.
-func (c *caller) cut(err error) {
-	c.conn.Close()
-	c.Closed(err)
-}
-
 type asked struct {
 	id    uint64 // the client's; it may come again once it is answered
 	no    uint64 // ours, never the same twice on a connection
--- a/internal/service/start.go
+++ b/internal/service/start.go
@@ -67,8 +67,7 @@
 	if err != nil {
 		return nil, file.Fault(fmt.Errorf("key 'known': %w", err))
 	}
-	engine.Bound(atDoor(clients))
-	engine.Spare(room / spareShare)
+	bound(engine, clients, room)
 	if err := engine.Listen(file.Listen, rpc.Accept); err != nil {
 		return nil, fmt.Errorf("listening on %s: %w", file.Listen, err)
 	}
@@ -78,8 +77,12 @@
 	return r, nil
 }
 
-// atDoor is a few more than the front keeps: it must see a newcomer to make room for it.
-func atDoor(clients int) int { return clients + clients/8 + doorway }
+// bound sets what the engine holds. It takes a few more clients in than the front keeps: that must see a newcomer to
+// make room for it.
+func bound(e *sockets.Engine, clients, room int) {
+	e.Bound(clients + clients/8 + doorway)
+	e.Spare(room / spareShare)
+}
 
 // Reload takes up another file: where the bulletin is and how it is polled, and the bounds on connections. It is
 // checked whole before anything changes. What only a new start can change is named in the log.
@@ -90,9 +93,8 @@
 	clients, caches, each, backlog, room, idle, _ := file.Pools()
 	wait, slack, _ := file.Polls()
 	r.engine.Do(func() {
-		r.engine.Bound(atDoor(clients))
+		bound(r.engine, clients, room)
 		r.rpc.Bound(backlog, room, clients, idle)
-		r.engine.Spare(room / spareShare)
 		r.desk.yard.Bound(caches, each)
 		r.desk.poll.Move(file.Board, wait, slack)
 	})
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -168,7 +168,7 @@
 	if p := recover(); p != nil {
 		e.log.WithField("panic", p).Errorf("callback: %s", debug.Stack())
 		if c != nil {
-			e.quietly(func() { c.fail(ErrPanic) })
+			e.quietly(func() { c.Fail(ErrPanic) })
 		}
 	}
 	if e.After != nil {
@@ -247,7 +247,7 @@
 			e.forget(c)
 		case now.After(c.until):
 			e.forget(c)
-			c.fail(errSlowConnect)
+			c.Fail(errSlowConnect)
 		default:
 			i++
 		}
@@ -263,7 +263,7 @@
 		return
 	}
 	if err := c.owner.Data(b); err != nil {
-		c.fail(err)
+		c.Fail(err)
 	}
 }
 
@@ -277,14 +277,14 @@
 	if err == nil {
 		err = io.EOF
 	}
-	c.fail(&Theirs{err})
+	c.Fail(&Theirs{err})
 	if c.accepted != nil {
 		c.accepted()
 	}
 }
 
-// fail closes a connection and tells its owner, once.
-func (c *Conn) fail(err error) {
+// Fail closes a connection and tells its owner, once.
+func (c *Conn) Fail(err error) {
 	if c.over {
 		return
 	}
--- a/internal/trips/trips.go
+++ b/internal/trips/trips.go
@@ -435,8 +435,7 @@
 		for i := len(p.links) - 1; i >= 0; i-- {
 			switch l := p.links[i]; {
 			case l.in.Len() > 0 && now.Sub(l.heard) > y.ask: // wards off waiting behind an answer that never ends
-				l.conn.Close()
-				l.Closed(errStuck)
+				l.conn.Fail(errStuck)
 			case l.conn.Up() && len(l.open) == 0 && now.Sub(l.used) > y.idle:
 				l.shut()
 			}
