--- /dev/null
+++ b/cmd/rig/main.go
@@ -0,0 +1,41 @@
+// Command rig is the project's tool for experiments: it plays parts of the router on virtual time or on loopback, ends
+// with one line of JSON, and tells by its exit status whether the bounds given by flags were kept.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// errMissed is the error of a run that kept to its script and missed a bound.
+var errMissed = errors.New("a bound was missed")
+
+var cli struct {
+	Duties dutiesRun `cmd:"" help:"Play many routers' membership and shared duties on virtual time."`
+}
+
+func main() {
+	ctx := kong.Parse(&cli, kong.Name("rig"), kong.UsageOnError(),
+		kong.Description("Experiments with the router's parts. Each ends with one line of JSON; exit status 1: a bound was missed."))
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "rig:", err)
+		os.Exit(1)
+	}
+}
+
+// report prints a result: as one line of JSON, or by lines for a reader.
+func report(asJSON bool, lines string, v any) error {
+	if !asJSON {
+		fmt.Print(lines)
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Println(string(b))
+	return err
+}
--- a/decide/api.go
+++ b/decide/api.go
@@ -1,11 +1,14 @@
 package decide
 
-import "threadrun/internal/slab"
+import (
+	"threadrun/instant"
+	"threadrun/internal/slab"
+)
 
 // Ids. None carries a meaning beyond naming its thing.
 type (
 	// Micros is a time or a span in whole microseconds.
-	Micros int64
+	Micros = instant.Micros
 	// VisitID names a visit in hand, from Arrive until Desk.Release.
 	VisitID = slab.Handle
 	// CacheID numbers a cache, parent or origin, from 0. One that is gone leaves its number to another: see Listed.Anew.
--- /dev/null
+++ b/duties/duties.go
@@ -0,0 +1,408 @@
+// Package duties says which router holds which piece of shared work. Each router keeps the whole table of holdings;
+// a holding stays where it is for as long as its holder runs. Free of I/O: time, changes of membership and datagrams
+// go in, datagrams and changes of holding come out.
+//
+// How it is called: New makes one router's table. Member tells of each change of membership, its own included. Tick is
+// called some tens of times a second, Hear with each datagram that has come. Mine asks, right before work is done,
+// whether it is this router's to do. table.go has what is believed of holdings, wire.go the datagrams.
+//
+// How it is decided: a vacant duty goes to the member that ranks first for it by weighted rendezvous hashing, among those
+// with room; that one claims it with the next term and says so. The second claims it if it hears of no claim for a while,
+// and so on. Of two claims the higher term stands, then the rank. So tables that differ for a time cost doubled work, and
+// a duty is left undone only while nobody knows that its holder is gone.
+package duties
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"net/netip"
+	"slices"
+
+	"threadrun/instant"
+	"threadrun/internal/chance"
+	"threadrun/members"
+)
+
+const (
+	settleAfter = 2 * instant.Second        // of the start: until then peers are being found
+	calmAfter   = instant.Second            // that a member must have been there to be given anything
+	evenAfter   = 2 * instant.Second        // without changes of membership, before duties are evened out
+	standIn     = 600 * instant.Millisecond // until the second in rank claims; each further one waits twice that more
+	askBefore   = 400 * instant.Millisecond // of that: whoever is first in rank is asked whether it has claimed
+	planEvery   = 100 * instant.Millisecond
+
+	lease     = 1200 * instant.Millisecond // of contact that is proven; less than a death takes to be believed
+	recheck   = 400 * instant.Millisecond  // after contact is back: time to hear what others took over
+	tickStale = 300 * instant.Millisecond  // since the last tick: this router was stopped
+
+	spreadEvery = 100 * instant.Millisecond
+	digestEvery = instant.Second
+	digestBusy  = 120 * instant.Millisecond // while there is news
+	busyFor     = instant.Second
+	evenEvery   = 500 * instant.Millisecond
+	perSecond   = 60.0
+	burst       = 60.0
+)
+
+// peer is a router that may hold duties here, this one included.
+type peer struct {
+	members.Member
+	holder Holder
+	since  Micros // present since
+	load   int
+	part   float64 // of all duties, by weight
+	room   int     // what it may take more, in the plan being made
+}
+
+// Duties is one router's table.
+type Duties struct {
+	self     members.Member
+	me       Holder
+	post     Post
+	even     Evenness
+	chance   chance.Source
+	now      Micros
+	began    Micros
+	changed  Micros           // the last change of membership
+	peers    []*peer          // by mark
+	by       map[Holder]*peer // the same
+	table    []holding
+	sums     []uint32 // over each bucket of the table
+	vacant   int
+	planned  Micros
+	dirty    bool // something that a plan rests on has changed
+	fit      bool
+	fitFrom  Micros // not before, once contact is back
+	spread   Micros
+	digested Micros
+	learned  Micros // the last claim of another's
+	window   int    // of buckets, that the next digest covers
+	turn     int    // of the peers, that is told next
+	evened   Micros
+	hot      []No // whose claims are to be told
+	letters  []letter
+	tokens   float64
+	filled   Micros
+	foreign  bool
+	tally    Tally
+	noted    uint64 // of tally.Taken
+	notedAt  Micros
+	buf      [Room]byte
+	list     []No
+}
+
+// New makes the table of a router that has just started, for so many duties.
+func New(now Micros, self members.Member, post Post, seed uint32, most int, even Evenness) *Duties {
+	d := &Duties{self: self, me: HolderOf(self.Mark, self.Life), post: post, even: even,
+		chance: chance.Source{Seed: seed}, now: now, began: now, changed: now, planned: now, spread: now,
+		digested: now, evened: now, tokens: burst, filled: now, table: make([]holding, min(most, Most)), by: map[Holder]*peer{}, dirty: true}
+	for i := range d.table {
+		d.table[i].vacant, d.table[i].since = true, now
+	}
+	d.vacant = len(d.table)
+	d.buckets()
+	d.Member(now, self)
+	return d
+}
+
+// Member takes a change of membership. Members of other zones share other duties.
+func (d *Duties) Member(now Micros, m members.Member) {
+	d.now = max(d.now, now)
+	if m.Zone != d.self.Zone {
+		return
+	}
+	holder := HolderOf(m.Mark, m.Life)
+	if m.Mark == d.self.Mark {
+		if d.self = m; holder != d.me {
+			d.abdicate()
+			d.me = holder
+		}
+	}
+	if !m.State.Present() {
+		holder = 0
+	}
+	at, found := slices.BinarySearchFunc(d.peers, m.Mark, func(p *peer, id members.Mark) int {
+		return cmp.Compare(p.Mark, id)
+	})
+	if !found {
+		if holder == 0 {
+			return
+		}
+		d.peers = slices.Insert(d.peers, at, &peer{})
+	}
+	p := d.peers[at]
+	was, before := p.Member, p.holder
+	p.Member = m
+	if before == holder && was.State == m.State && was.Weight == m.Weight {
+		return
+	}
+	d.dirty = true
+	if before != holder {
+		d.changed = d.now
+		delete(d.by, before)
+		if p.holder, p.since = holder, d.now; holder == 0 {
+			d.peers = slices.Delete(d.peers, at, at+1)
+		} else {
+			d.by[holder] = p
+		}
+		d.recount(before)
+	}
+	d.recount(holder)
+}
+
+// abdicate drops all that was held in a life that has passed.
+func (d *Duties) abdicate() {
+	for no := range d.table {
+		if h := &d.table[no]; h.by == d.me {
+			d.tally.Yielded++
+			d.post.Yielded(No(no), h.term)
+		}
+	}
+}
+
+// Tick does what is due. Silence is for how long nothing has proved that others hear this router, alone whether none of
+// them is taken to run.
+func (d *Duties) Tick(now Micros, silence Micros, alone bool) {
+	stopped := now-d.now > tickStale
+	d.now = max(d.now, now)
+	d.fence(silence, alone, stopped)
+	if d.now-d.began >= settleAfter {
+		d.fill()
+		d.level()
+	}
+	d.noteTaken()
+	d.deliver()
+	d.tell()
+	d.digest()
+}
+
+// fence stops this router's work when nothing proves that others hear it: they may believe it dead, and have taken over.
+// Once they do hear it, it first listens for what they took. Alone it works on: so does each side of a split.
+func (d *Duties) fence(silence Micros, alone, stopped bool) {
+	fit := alone || silence < lease && !stopped
+	switch {
+	case !fit:
+		if d.fit {
+			d.tally.Fenced++
+			d.post.Note(fmt.Sprintf("duties: no contact for %dms, %d duties rest", silence/instant.Millisecond, d.Held()))
+		}
+		d.fit, d.fitFrom = false, d.now+recheck
+	case !d.fit && d.now >= d.fitFrom:
+		d.fit = true
+		if d.tally.Fenced > 0 {
+			d.post.Note(fmt.Sprintf("duties: in contact, %d duties held", d.Held()))
+		}
+	case !d.fit:
+		d.digested = min(d.digested, d.now-digestEvery) // asks at once what has been taken over
+	}
+}
+
+// Mine tells whether a duty's work is this router's to do, and under which term. It is asked right before the work: a
+// router that was stopped since its last tick must not go on as if no time had passed.
+func (d *Duties) Mine(no No, now Micros) (Term, bool) {
+	if int(no) >= len(d.table) || !d.fit || now-d.now > tickStale {
+		return 0, false
+	}
+	h := &d.table[no]
+	return h.term, h.by == d.me
+}
+
+// Fit tells whether this router may work on what it holds.
+func (d *Duties) Fit() bool { return d.fit }
+
+// Held counts the duties that this router holds.
+func (d *Duties) Held() (n int) {
+	for i := range d.table {
+		if d.table[i].by == d.me {
+			n++
+		}
+	}
+	return n
+}
+
+// Vacant counts the duties that nobody is known to hold.
+func (d *Duties) Vacant() int { return d.vacant }
+
+// All is how many duties there are.
+func (d *Duties) All() int { return len(d.table) }
+
+// At tells who is known to hold a duty: its address, if it is present, and the term.
+func (d *Duties) At(no No) (at netip.AddrPort, term Term, held bool) {
+	if int(no) >= len(d.table) {
+		return at, 0, false
+	}
+	h := &d.table[no]
+	if p := d.by[h.by]; p != nil {
+		return p.Address, h.term, true
+	}
+	return at, h.term, false
+}
+
+// Tally counts what has happened.
+func (d *Duties) Tally() Tally { return d.tally }
+
+// eligible tells whether a member may be given duties. A suspect may: most are well, and where one is not, the next in
+// rank stands in.
+func (d *Duties) eligible(p *peer) bool {
+	return p.State != members.Leaving && (p.holder == d.me || d.now-p.since >= calmAfter)
+}
+
+// total is the weight of all that may be given duties.
+func (d *Duties) total() (w float64) {
+	for _, p := range d.peers {
+		if d.eligible(p) {
+			w += float64(p.Weight)
+		}
+	}
+	return w
+}
+
+// rooms works out what each member may take more.
+func (d *Duties) rooms() {
+	total := d.total()
+	for _, p := range d.peers {
+		if p.part, p.room = 0, 0; d.eligible(p) {
+			p.part = float64(len(d.table)) * float64(p.Weight) / total
+			p.room = max(int(math.Ceil(p.part*d.even.Most)), 1) - p.load
+		}
+	}
+}
+
+// fill has vacant duties go where they belong. Each router works out the same plan from the same view; where views
+// differ, the next in rank stands in after a while.
+func (d *Duties) fill() {
+	if d.vacant == 0 || !d.fit || !d.dirty && d.now-d.planned < planEvery || d.self.State != members.Alive {
+		return
+	}
+	d.planned, d.dirty = d.now, false
+	d.rooms()
+	for i := range d.table {
+		h := &d.table[i]
+		if !h.vacant {
+			continue
+		}
+		no := No(i)
+		first, second, third, rank := d.rank(no)
+		if first == nil {
+			return
+		}
+		first.room--
+		if first.holder != d.me {
+			wait := Micros(2*rank-1)*standIn - (d.now - max(h.since, d.began+settleAfter))
+			if rank > 0 && wait < askBefore { // it may have claimed, and the word of it was lost
+				d.write(first, no, ask)
+			}
+			if rank == 0 || wait > 0 {
+				continue
+			}
+			d.by[d.me].room--
+			second, third = first, second
+		}
+		old := d.by[h.by]
+		switch {
+		case old != nil: // it is going, and works until it hears of this
+			d.tally.Handed++
+			d.write(old, no, claims)
+		case h.term > 0:
+			d.tally.FromDead++
+		}
+		d.claim(no)
+		d.write(second, no, claims)
+		d.write(third, no, claims)
+	}
+}
+
+// noteTaken tells of duties taken over, now and then.
+func (d *Duties) noteTaken() {
+	if d.tally.Taken == d.noted || d.now-d.notedAt < instant.Second {
+		return
+	}
+	d.post.Note(fmt.Sprintf("duties: %d taken, %d held of %d", d.tally.Taken-d.noted, d.Held(), len(d.table)))
+	d.noted, d.notedAt = d.tally.Taken, d.now
+}
+
+// rank finds the three members with room that suit a duty best, and this router's place among all: 0 if it has none, or
+// is the first.
+func (d *Duties) rank(no No) (first, second, third *peer, rank int) {
+	even := true
+	for _, p := range d.peers {
+		even = even && (p.room <= 0 || p.Weight == d.peers[0].Weight)
+	}
+	var best [3]float64
+	mine := 0.0
+	if me := d.by[d.me]; me != nil && me.room > 0 {
+		mine = score(no, me, even)
+	}
+	for _, p := range d.peers {
+		if p.room <= 0 {
+			continue
+		}
+		s := score(no, p, even)
+		if mine > 0 && s > mine {
+			rank++
+		}
+		switch {
+		case s > best[0]:
+			first, second, third = p, first, second
+			best[0], best[1], best[2] = s, best[0], best[1]
+		case s > best[1]:
+			second, third = p, second
+			best[1], best[2] = s, best[1]
+		case s > best[2]:
+			third, best[2] = p, s
+		}
+	}
+	return first, second, third, rank
+}
+
+// level hands duties over where this router holds too many, or another far too few. It goes on a few at a time: each
+// offer is taken up by a claim, and until that is heard this router works on.
+func (d *Duties) level() {
+	me := d.by[d.me]
+	if d.vacant > 0 || d.now-d.changed < evenAfter || d.now-d.evened < evenEvery || me == nil || !d.eligible(me) {
+		return
+	}
+	d.evened = d.now
+	d.rooms()
+	if me.room < 0 {
+		n := -me.room
+		me.room = 0
+		d.offer(n)
+		return
+	}
+	rich, lack := 0, 0
+	for _, p := range d.peers {
+		if float64(p.load) > p.part {
+			rich++
+		}
+		p.room = max(int(math.Ceil(p.part*d.even.Least))-p.load, 0)
+		lack += p.room
+	}
+	if spare := me.load - int(math.Ceil(me.part)); spare > 0 && lack > 0 {
+		d.offer(min(spare, lack/rich+1)) // each that has more than its part gives a part of what is lacking
+	}
+}
+
+// offer offers so many duties to those that suit them best among those with room.
+func (d *Duties) offer(n int) {
+	for _, p := range d.peers {
+		if p.holder == d.me {
+			continue
+		}
+		d.list = d.list[:0]
+		for i := 0; i < len(d.table) && len(d.list) < min(n, p.room, offerMost); i++ {
+			if h := &d.table[i]; h.by == d.me && d.now-h.offered > evenEvery/2 {
+				if first, _, _, _ := d.rank(No(i)); first == p {
+					d.list = append(d.list, No(i))
+				}
+			}
+		}
+		if len(d.list) > 0 && d.sendList(offer, p.Address, d.list) > 0 {
+			n -= len(d.list)
+			for _, no := range d.list {
+				d.table[no].offered = d.now
+			}
+		}
+	}
+}
--- /dev/null
+++ b/duties/wire.go
@@ -0,0 +1,199 @@
+package duties
+
+import (
+	"encoding/binary"
+	"math"
+	"net/netip"
+	"slices"
+
+	"threadrun/internal/mix"
+	"threadrun/internal/octets"
+)
+
+// A datagram is a kind, the sender's zone, how many duties it knows of, and who it is; then what belongs to the kind.
+type kind byte
+
+const (
+	claims kind = iota + 1 // who holds what under which term, by holder
+	offer                  // the same, of duties that the sender hands over
+	ask                    // which duties' holders are wanted
+	digest                 // the first bucket, and a sum over each
+	kindsEnd
+)
+
+const (
+	holderSize = holderBits / 8
+	shortSize  = 2
+	claimsMost = 90 // that a datagram is tried to be filled with
+	offerMost  = 32
+	answerMost = 3 * claimsMost // claims that one digest is answered with
+)
+
+// begin starts a datagram in the router's own buffer.
+func (d *Duties) begin(k kind) []byte {
+	b := append(d.buf[:0], byte(k))
+	b = binary.AppendUvarint(b, uint64(d.self.Zone))
+	b = binary.AppendUvarint(b, uint64(len(d.table)))
+	return appendHolder(b, d.me)
+}
+
+func appendHolder(b []byte, h Holder) []byte { return octets.AppendWord(b, uint64(h), holderSize) }
+
+// sendList sends claims of duties, sorted by holder, and tells how many of the list went.
+func (d *Duties) sendList(k kind, to netip.AddrPort, list []No) (sent int) {
+	b := d.begin(k)
+	list = list[:min(len(list), claimsMost)]
+	if k == ask {
+		return d.sendAsk(to, b, list)
+	}
+	if k == claims { // those of one holder side by side: its name is said once
+		slices.SortFunc(list, func(x, y No) int {
+			if a, b := d.table[x].by, d.table[y].by; a != b {
+				if a < b {
+					return -1
+				}
+				return 1
+			}
+			return int(x) - int(y)
+		})
+	}
+	for sent < len(list) {
+		by, end := d.table[list[sent]].by, sent
+		for end < len(list) && d.table[list[end]].by == by {
+			end++
+		}
+		head := len(b)
+		b = append(appendHolder(b, by), 0)
+		last := No(0)
+		n := 0
+		for _, no := range list[sent:end] {
+			more := binary.AppendUvarint(b, uint64(no-last))
+			more = binary.AppendUvarint(more, uint64(d.table[no].term))
+			if len(more) > Room {
+				break
+			}
+			b, last = more, no
+			n++
+		}
+		if n == 0 {
+			b = b[:head]
+			break
+		}
+		b[head+holderSize] = byte(n)
+		if sent += n; sent < end {
+			break
+		}
+		if len(b)+holderSize+1+10 > Room {
+			break
+		}
+	}
+	if sent > 0 && !d.send(to, b) {
+		return 0
+	}
+	return sent
+}
+
+// sendAsk asks for the holders of duties.
+func (d *Duties) sendAsk(to netip.AddrPort, b []byte, list []No) (sent int) {
+	slices.Sort(list)
+	last := No(0)
+	for _, no := range list {
+		more := binary.AppendUvarint(b, uint64(no-last))
+		if len(more) > Room {
+			break
+		}
+		b, last = more, no
+		sent++
+	}
+	d.send(to, b)
+	return sent
+}
+
+// sendDigest sends the sums of some buckets.
+func (d *Duties) sendDigest(to netip.AddrPort, first, end int) {
+	salt := byte(d.chance.Next())
+	b := append(binary.AppendUvarint(d.begin(digest), uint64(first)), salt)
+	for _, s := range d.sums[first:end] {
+		if len(b)+shortSize > Room {
+			break
+		}
+		b = octets.AppendWord(b, uint64(short(s, salt)), shortSize)
+	}
+	d.send(to, b)
+}
+
+// short cuts a sum down. The salt is another each time: two sums that are alike for once are not so for ever.
+func short(sum uint32, salt byte) uint16 { return uint16(mix.Pair(uint64(sum), uint64(salt))) }
+
+// send gives a datagram out, unless there have been too many.
+func (d *Duties) send(to netip.AddrPort, b []byte) bool {
+	d.tokens = min(d.tokens+(d.now-d.filled).Seconds()*perSecond, burst)
+	d.filled = d.now
+	if d.tokens < 1 {
+		d.tally.Held++
+		return false
+	}
+	d.tokens--
+	d.tally.Sent++
+	d.post.Send(to, b)
+	return true
+}
+
+// buckets makes the sums.
+func (d *Duties) buckets() { d.sums = make([]uint32, d.bucketCount()) }
+
+// mark enters a holding in its bucket's sum, or takes it out: a sum is that of its holdings by exclusive or.
+func (d *Duties) mark(no No) {
+	if h := &d.table[no]; h.term > 0 {
+		d.sums[no/bucketSize] ^= uint32(mix.Pair(uint64(no)<<32|uint64(h.term), uint64(h.by)))
+	}
+}
+
+// open reads a datagram's head.
+func (d *Duties) open(b []byte) (k kind, sender Holder, r octets.Reader, err error) {
+	r = octets.Reader{B: b}
+	k = kind(r.Byte())
+	zone, all := r.Number(math.MaxUint16), r.Number(Most)
+	sender = Holder(r.Word(holderSize))
+	switch {
+	case r.Bad || len(b) > Room || k == 0 || k >= kindsEnd:
+		d.tally.Unreadable++
+		return k, sender, r, ErrUnreadable
+	case zone != uint64(d.self.Zone):
+		return k, sender, r, ErrElsewhere
+	case int(all) != len(d.table):
+		d.tally.Foreign++
+		if !d.foreign {
+			d.foreign = true
+			d.post.Note("duties: a router of this zone shares another number of duties, what it says is passed over")
+		}
+		return k, sender, r, ErrElsewhere
+	}
+	return k, sender, r, nil
+}
+
+// readClaims reads those of one holder, and tells whether there may be more.
+func readClaims(r *octets.Reader, all int, f func(by Holder, no No, term Term)) bool {
+	if len(r.B) == 0 {
+		return false
+	}
+	by := Holder(r.Word(holderSize))
+	no := uint64(0)
+	for n := r.Byte(); n > 0 && !r.Bad; n-- {
+		no += r.Number(Most)
+		term := r.Number(math.MaxInt32)
+		if r.Bad = r.Bad || no >= uint64(all) || term == 0; !r.Bad {
+			f(by, No(no), Term(term))
+		}
+	}
+	return !r.Bad && len(r.B) > 0
+}
+
+// readDigest reads the sums of some buckets, and which is the first.
+func readDigest(r *octets.Reader) (first int, salt byte, sums []uint16) {
+	first, salt = int(r.Number(Most)), r.Byte()
+	for !r.Bad && len(r.B) >= shortSize && len(sums) < windowMost {
+		sums = append(sums, uint16(r.Word(shortSize)))
+	}
+	return first, salt, sums
+}
--- /dev/null
+++ b/instant/instant.go
@@ -0,0 +1,18 @@
+// Package instant has the one measure of time that all decision cores share.
+package instant
+
+// Micros is a time or a span in whole microseconds. What it counts from is the caller's matter; it never goes back.
+type Micros int64
+
+// Spans.
+const (
+	Millisecond = 1000 * Micros(1)
+	Second      = 1000 * Millisecond
+	Minute      = 60 * Second
+)
+
+// Seconds gives a span in seconds.
+func (m Micros) Seconds() float64 { return float64(m) / float64(Second) }
+
+// Millis gives a span in milliseconds.
+func (m Micros) Millis() float64 { return float64(m) / float64(Millisecond) }
--- /dev/null
+++ b/internal/crowd/crowd.go
@@ -0,0 +1,413 @@
+// Package crowd plays many routers' membership and shared duties on virtual time: a model of the routers of a tier and of
+// the way between them, with its losses, for experiments at sizes that sockets do not reach. The cores are the real ones;
+// the network, the clocks and the work are the model's. One seed plays one history.
+package crowd
+
+import (
+	"container/heap"
+	"fmt"
+	"net/netip"
+
+	"threadrun/duties"
+	"threadrun/instant"
+	"threadrun/internal/chance"
+	"threadrun/internal/mix"
+	"threadrun/members"
+)
+
+// Micros is a time or a span in whole microseconds.
+type Micros = instant.Micros
+
+// Way is how datagrams travel between routers.
+type Way struct {
+	Loss, Doubled float64 // shares of datagrams, each way by itself
+	Least, Most   Micros
+	Stray         float64 // share that takes up to StrayMost longer, and so is overtaken
+	StrayMost     Micros
+}
+
+// OrdinaryWay is a network of some milliseconds with the given loss.
+func OrdinaryWay(loss float64) Way {
+	return Way{Loss: loss, Doubled: 0.01, Least: instant.Millisecond, Most: 10 * instant.Millisecond, Stray: 0.02,
+		StrayMost: 60 * instant.Millisecond}
+}
+
+const (
+	beat    = 20 * instant.Millisecond
+	anHour  = 3600 * instant.Second
+	subnet  = 1 << 16
+	gapMost = 3 * instant.Second // between two works on a duty
+	faulty  = 0.001              // of the works: one that must not run twice is handed in with them
+)
+
+// Crowd is a tier of routers.
+type Crowd struct {
+	Now    Micros
+	Way    Way
+	Nodes  []*Node
+	Ledger *Ledger
+	Cut    func(from, to int) bool // a way that carries nothing; nil: none
+	Over   int                     // bytes that carrying a datagram adds to it
+	Lines  func(node int, line string)
+
+	chance   chance.Source
+	events   events
+	count    uint64
+	shares   duties.Shares
+	seeds    int // routers that newcomers know; 0: all know all
+	pace     members.Pace
+	doubt    members.Doubt
+	evenness duties.Evenness
+	every    Micros // each duty is worked on once in so long
+	spare    [][]byte
+}
+
+// New makes a tier of routers that all start at once. With seeds above 0 each knows the first few only, and learns of the
+// rest from them.
+func New(seed uint32, routers, seeds int, shares duties.Shares, way Way, every Micros) *Crowd {
+	c := &Crowd{Way: way, chance: chance.Source{Seed: seed}, shares: shares, seeds: seeds, pace: members.OrdinaryPace,
+		doubt: members.OrdinaryDoubt, evenness: duties.OrdinaryEvenness, every: every}
+	c.Ledger = newLedger(shares.All(), every)
+	for i := range routers {
+		c.Nodes = append(c.Nodes, &Node{crowd: c, at: i, Address: address(i), Weight: 1,
+			skew: Micros(c.chance.Below(int(anHour)))})
+	}
+	for _, n := range c.Nodes {
+		c.At(Micros(c.chance.Below(int(beat))), n.Start)
+	}
+	return c
+}
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 77, byte(i >> 8), byte(i)}), 7946)
+}
+
+func (c *Crowd) index(a netip.AddrPort) int {
+	b := a.Addr().As4()
+	if i := int(b[2])<<8 | int(b[3]); b[0] == 127 && b[1] == 77 && i < len(c.Nodes) {
+		return i
+	}
+	return -1
+}
+
+// event is something that is to happen: a call, or a datagram that arrives.
+type event struct {
+	at       Micros
+	no       uint64
+	call     func()
+	from, to int
+	b        []byte
+}
+
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].no < h[j].no
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// At has something happen at a time.
+func (c *Crowd) At(at Micros, call func()) {
+	c.count++
+	heap.Push(&c.events, event{at: max(at, c.Now), no: c.count, call: call})
+}
+
+// Run plays until a time.
+func (c *Crowd) Run(until Micros) {
+	for len(c.events) > 0 && c.events[0].at <= until {
+		e := heap.Pop(&c.events).(event)
+		c.Now = e.at
+		if e.call != nil {
+			e.call()
+			continue
+		}
+		c.Nodes[e.to].hear(c.Nodes[e.from].Address, e.b)
+		c.spare = append(c.spare, e.b)
+	}
+	c.Now = until
+}
+
+// carry sends a datagram on its way.
+func (c *Crowd) carry(from int, to netip.AddrPort, b []byte) {
+	n := c.index(to)
+	if n < 0 || c.Cut != nil && c.Cut(from, n) || c.chance.Share() < c.Way.Loss {
+		return
+	}
+	copies := 1
+	if c.chance.Share() < c.Way.Doubled {
+		copies = 2
+	}
+	for range copies {
+		delay := c.Way.Least + Micros(c.chance.Share()*float64(c.Way.Most-c.Way.Least))
+		if c.chance.Share() < c.Way.Stray {
+			delay += Micros(c.chance.Share() * float64(c.Way.StrayMost))
+		}
+		var room []byte
+		if n := len(c.spare); n > 0 {
+			room, c.spare = c.spare[n-1][:0], c.spare[:n-1]
+		}
+		c.count++
+		heap.Push(&c.events, event{at: c.Now + delay, no: c.count, from: from, to: n, b: append(room, b...)})
+	}
+}
+
+// Node is one router: its cores, its clock, and the work it does.
+type Node struct {
+	Address netip.AddrPort
+	Weight  uint16
+	Members *members.Members
+	Duties  *duties.Duties
+	Up      bool // runs, or is stopped for a while
+	Stopped bool
+	Blamed  int // false deaths that this router has believed
+
+	crowd   *Crowd
+	at      int
+	start   int // counts the starts
+	skew    Micros
+	held    map[duties.No]bool
+	order   []duties.No // the same, in order
+	sorted  bool
+	waiting []event // that came while it was stopped
+	Sent    uint64
+	Bytes   uint64
+	Largest int
+}
+
+// clock is the node's own: each has its own idea of what time it is.
+func (n *Node) clock() Micros { return n.crowd.Now + n.skew }
+
+// Mark is the node's name to others.
+func (n *Node) Mark() members.Mark { return members.Mark(mix.Name(n.Address.String())) }
+
+// Start starts a router that is not running. It has nothing from before but its name and its address.
+func (n *Node) Start() {
+	c := n.crowd
+	n.start++
+	n.Up, n.Stopped, n.held, n.order = true, false, map[duties.No]bool{}, nil
+	self := members.Self{Mark: n.Mark(), Address: n.Address, Zone: 1, Weight: n.Weight,
+		Life: members.Life(n.clock() / instant.Millisecond)}
+	post := &post{n, n.start}
+	seed := uint32(c.chance.Next())
+	n.Members = members.New(n.clock(), self, post, seed, c.pace, c.doubt)
+	n.Duties = duties.New(n.clock(), n.Members.Self(), &dutyPost{post}, seed+1, c.shares.All(), c.evenness)
+	var peers []members.Peer
+	for i, o := range c.Nodes {
+		switch {
+		case c.seeds == 0:
+			peers = append(peers, members.Peer{Mark: o.Mark(), Address: o.Address})
+		case i < c.seeds:
+			peers = append(peers, members.Peer{Address: o.Address})
+		}
+	}
+	n.Members.Known(peers)
+	n.tick(n.start)
+}
+
+// tick is one beat of a running router.
+func (n *Node) tick(start int) {
+	if !n.Up || start != n.start {
+		return
+	}
+	n.crowd.At(n.crowd.Now+beat, func() { n.tick(start) })
+	if n.Stopped {
+		return
+	}
+	now := n.clock()
+	n.Members.Tick(now)
+	silence, alone := n.Members.Contact()
+	n.Duties.Tick(now, silence, alone)
+	n.work()
+}
+
+// work does what is due of the duties held.
+func (n *Node) work() {
+	if !n.sorted {
+		n.order = n.order[:0]
+		for i := range n.crowd.shares.All() {
+			if n.held[duties.No(i)] {
+				n.order = append(n.order, duties.No(i))
+			}
+		}
+		n.sorted = true
+	}
+	for _, no := range n.order {
+		if n.crowd.Ledger.due(no, n.at, n.crowd.Now) {
+			if term, mine := n.Duties.Mine(no, n.clock()); mine {
+				n.handIn(no)
+				n.crowd.Ledger.done(no, n.at, term, n.crowd.Now)
+			}
+		}
+	}
+}
+
+// handIn has a faulty caller hand in, now and then, work that must not run twice.
+func (n *Node) handIn(no duties.No) {
+	l := n.crowd.Ledger
+	if n.crowd.chance.Share() >= faulty {
+		return
+	}
+	kind := duties.Kind(n.crowd.chance.Below(4))
+	if _, err := duties.NewWork(kind, uint64(no), false); err == nil {
+		l.Forbidden++
+	} else {
+		l.Refused++
+	}
+}
+
+func (n *Node) hear(from netip.AddrPort, b []byte) {
+	switch {
+	case !n.Up:
+	case n.Stopped: // lies in the socket
+		if len(n.waiting) < 64 {
+			n.waiting = append(n.waiting, event{b: append([]byte(nil), b...), from: n.crowd.index(from)})
+		}
+	case len(b) == 0:
+	case b[0] == byteMembers:
+		_ = n.Members.Hear(n.clock(), from, b[1:])
+	default:
+		_ = n.Duties.Hear(n.clock(), from, b[1:])
+	}
+}
+
+// Kill ends a router outright.
+func (n *Node) Kill() {
+	if n.Up {
+		n.crowd.Ledger.killed(n.at, n.crowd.Now)
+	}
+	n.Up, n.waiting = false, nil
+}
+
+// Leave has a router go as planned: it tells, hands over, and ends once it holds nothing or its time is up.
+func (n *Node) Leave(most Micros) {
+	n.Members.Leave(n.clock())
+	n.Duties.Member(n.clock(), n.Members.Self())
+	start, until := n.start, n.crowd.Now+most
+	var wait func()
+	wait = func() {
+		switch {
+		case start != n.start || !n.Up:
+		case n.Duties.Held() == 0 || n.crowd.Now >= until:
+			n.Members.Gone(n.clock())
+			n.Up = false
+		default:
+			n.crowd.At(n.crowd.Now+beat, wait)
+		}
+	}
+	n.crowd.At(n.crowd.Now+beat, wait)
+}
+
+// Stop has a router stand still, as a process that is stopped does; Go has it go on.
+func (n *Node) Stop() { n.Stopped = true }
+
+// Go has a stopped router go on: what came meanwhile lies in its socket still.
+func (n *Node) Go() {
+	n.Stopped = false
+	now := n.clock()
+	n.Members.Tick(now)
+	silence, alone := n.Members.Contact()
+	n.Duties.Tick(now, silence, alone)
+	for _, e := range n.waiting {
+		n.hear(n.crowd.Nodes[e.from].Address, e.b)
+	}
+	n.waiting = nil
+}
+
+// Jump sets a router's clock.
+func (n *Node) Jump(by Micros) { n.skew += by }
+
+const (
+	byteMembers = 1
+	byteDuties  = 2
+)
+
+// post takes what a router's membership gives out.
+type post struct {
+	n     *Node
+	start int
+}
+
+func (p *post) send(kind byte, to netip.AddrPort, b []byte) {
+	n := p.n
+	n.Sent++
+	size := len(b) + n.crowd.Over
+	n.Bytes += uint64(size)
+	n.Largest = max(n.Largest, size)
+	n.crowd.carry(n.at, to, append([]byte{kind}, b...))
+}
+
+func (p *post) Send(to netip.AddrPort, b []byte) { p.send(byteMembers, to, b) }
+
+func (p *post) Changed(m members.Member) {
+	n := p.n
+	if i := n.crowd.index(m.Address); m.State == members.Dead && i >= 0 && n.crowd.running(n.at, i) {
+		n.Blamed++
+		n.crowd.Ledger.FalseDeaths++
+	}
+	n.Duties.Member(n.clock(), m)
+}
+
+func (p *post) Note(line string) {
+	if p.n.crowd.Lines != nil {
+		p.n.crowd.Lines(p.n.at, line)
+	}
+}
+
+// running tells whether one router could know that another runs.
+func (c *Crowd) running(a, b int) bool {
+	return c.Nodes[b].Up && !c.Nodes[b].Stopped && (c.Cut == nil || !c.Cut(a, b) && !c.Cut(b, a))
+}
+
+// dutyPost takes what a router's duties give out.
+type dutyPost struct{ *post }
+
+func (p *dutyPost) Send(to netip.AddrPort, b []byte) { p.send(byteDuties, to, b) }
+
+func (p *dutyPost) Took(no duties.No, term duties.Term) {
+	p.n.held[no], p.n.sorted = true, false
+	p.n.crowd.Ledger.took(no, p.n.at, term)
+}
+
+func (p *dutyPost) Yielded(no duties.No, _ duties.Term) {
+	delete(p.n.held, no)
+	p.n.sorted = false
+}
+
+// Holders counts, for each duty, the running routers that would work on it now.
+func (c *Crowd) Holders() []int {
+	out := make([]int, c.shares.All())
+	for _, n := range c.Nodes {
+		if !n.Up || n.Stopped {
+			continue
+		}
+		for no := range out {
+			if _, mine := n.Duties.Mine(duties.No(no), n.clock()); mine {
+				out[no]++
+			}
+		}
+	}
+	return out
+}
+
+// Loads counts the duties that each running router holds.
+func (c *Crowd) Loads() []int {
+	var out []int
+	for _, n := range c.Nodes {
+		if n.Up {
+			out = append(out, n.Duties.Held())
+		}
+	}
+	return out
+}
+
+func (c *Crowd) String() string {
+	return fmt.Sprintf("%d routers at %dms", len(c.Nodes), c.Now/instant.Millisecond)
+}
--- /dev/null
+++ b/members/members.go
@@ -0,0 +1,505 @@
+// Package members tells a router which other routers run: failure detection and spreading of news in the manner of
+// SWIM, with suspicion, and with the measures of Lifeguard for a router that is itself slow. Free of I/O: time and
+// datagrams go in, datagrams and changes come out.
+//
+// How it is called: New makes the view of one router. Known tells of peers or seeds. Then Tick is called some tens of
+// times a second, Hear with each datagram that has come, Leave before a planned end. Results go to the Post within
+// that call. news.go has what is believed of whom, wire.go the datagrams; docs/design-shared-duties.md the reasons.
+package members
+
+import (
+	"math"
+	"net/netip"
+	"slices"
+
+	"threadrun/instant"
+	"threadrun/internal/chance"
+)
+
+const (
+	perSecond   = 60.0 // datagrams at most, whatever comes; the ordinary pace is a third of that
+	burst       = 30.0
+	membersMost = 4096
+
+	stallTimes  = 3 // times the probe period between two ticks: this router itself was stopped
+	healthMost  = 8 // each point makes a router wait that much longer before it blames another
+	accusedMost = 4 // suspects of our own that are asked again and again
+	relaysMost  = 32
+	recentMost  = 16 // pings whose late answers still prove that we are heard
+
+	tellTimes = 3 // times the logarithm of the members: how often a piece of news is told
+
+	pullEvery   = instant.Second
+	reviveEvery = instant.Second // one that is not there is tried
+	seedEvery   = 10 * instant.Second
+	youngFor    = 3 * instant.Second // a newcomer asks around faster
+	forgetAfter = 10 * instant.Minute
+	leaveTimes  = 3 // how often a departure is told at its end
+	pageMost    = 8
+)
+
+// member is one record.
+type member struct {
+	Member
+	inc      Incarnation
+	accusers [accusersMost]Mark
+	accused  int
+	tells    int    // how often its news is to be told still
+	draft    uint64 // the datagram it was told in last
+	stale    bool   // it spoke as in an earlier life, and is to hear of the later one
+	listed   bool   // by the deployment: never forgotten
+}
+
+const accusersMost = 4
+
+// probe is the one that is under way.
+type probe struct {
+	target   Mark // Nobody: none
+	seq      uint32
+	sent     Micros
+	helped   bool // helpers were asked
+	asked    int
+	heard    int // helpers that answered at all
+	answered bool
+}
+
+// relay is a probe for another.
+type relay struct {
+	seq, theirs uint32
+	asker       netip.AddrPort
+	target      Mark
+	until       Micros
+}
+
+type recent struct {
+	seq  uint32
+	sent Micros
+}
+
+// Members is one router's view.
+type Members struct {
+	self    Self
+	inc     Incarnation
+	state   State // Alive, Leaving or Left
+	post    Post
+	pace    Pace
+	doubt   Doubt
+	chance  chance.Source
+	now     Micros // own time: runs on evenly, whatever the clock does
+	clock   Micros
+	began   Micros
+	all     []*member // by mark
+	hot     []*member // whose news is to be told
+	drafts  uint64
+	order   []Mark // in which members are probed
+	next    int
+	probe   probe
+	due     Micros // the next probe
+	seq     uint32
+	recents [recentMost]recent
+	relays  []relay
+	accused []Mark // whom we have accused ourselves
+	again   Micros // when they are asked again
+	seeds   []netip.AddrPort
+	health  int
+	proved  Micros // when that left which is known to have been answered; 0: never
+	pulled  Micros
+	assured Micros
+	cursor  Mark
+	revived Micros
+	seeded  Micros
+	tokens  float64
+	filled  Micros
+	crowded bool
+	tally   Tally
+	buf     [Room]byte
+}
+
+// New makes the view of a router that has just started.
+func New(now Micros, self Self, post Post, seed uint32, pace Pace, doubt Doubt) *Members {
+	self.Weight = min(max(self.Weight, 1), weightMost)
+	m := &Members{self: self, state: Alive, post: post, pace: pace, doubt: doubt, chance: chance.Source{Seed: seed},
+		clock: now, now: now, began: now, tokens: burst, filled: now, due: now, pulled: now, revived: now}
+	m.seeded = now - seedEvery
+	return m
+}
+
+// Known tells of peers: those of the deployment by their marks, or seeds by their addresses alone.
+func (m *Members) Known(peers []Peer) {
+	for _, p := range peers {
+		switch {
+		case p.Mark == m.self.Mark || p.Address == m.self.Address:
+		case p.Mark == 0:
+			if !slices.Contains(m.seeds, p.Address) {
+				m.seeds = append(m.seeds, p.Address)
+			}
+		default:
+			if r := m.find(p.Mark); r != nil {
+				r.listed = true
+			} else if r = m.enter(p.Mark); r != nil {
+				r.Address, r.listed = p.Address, true
+			}
+		}
+	}
+}
+
+// find gives the record of a member, or nil.
+func (m *Members) find(id Mark) *member {
+	if at, ok := m.place(id); ok {
+		return m.all[at]
+	}
+	return nil
+}
+
+func (m *Members) place(id Mark) (int, bool) {
+	return slices.BinarySearchFunc(m.all, id, func(r *member, id Mark) int {
+		switch {
+		case r.Mark < id:
+			return -1
+		case r.Mark > id:
+			return 1
+		}
+		return 0
+	})
+}
+
+// enter makes a record, if there is room.
+func (m *Members) enter(id Mark) *member {
+	if len(m.all) >= membersMost {
+		m.tally.Crowded++
+		if !m.crowded {
+			m.crowded = true
+			m.post.Note("members: the table is full, newcomers are not taken in")
+		}
+		return nil
+	}
+	at, _ := m.place(id)
+	r := &member{Member: Member{Self: Self{Mark: id}, Since: m.now}}
+	m.all = slices.Insert(m.all, at, r)
+	return r
+}
+
+// Self is what this router tells of itself.
+func (m *Members) Self() Member { return Member{Self: m.self, State: m.state, Since: m.began} }
+
+// Each calls f for every other member.
+func (m *Members) Each(f func(Member)) {
+	for _, r := range m.all {
+		f(r.Member)
+	}
+}
+
+// Present counts the others that are taken to run.
+func (m *Members) Present() (n int) {
+	for _, r := range m.all {
+		if r.State.Present() {
+			n++
+		}
+	}
+	return n
+}
+
+// Health is how slow this router takes itself to be: 0 is well.
+func (m *Members) Health() int { return m.health }
+
+// Tally counts what has happened.
+func (m *Members) Tally() Tally { return m.tally }
+
+// Contact tells for how long nothing has proved that others hear this router: since the last of its datagrams left that
+// is known to have been answered. With nobody else there is none to prove it.
+func (m *Members) Contact() (silence Micros, alone bool) {
+	if m.proved == 0 {
+		return m.now - m.began, m.Present() == 0
+	}
+	return m.now - m.proved, m.Present() == 0
+}
+
+// pass moves the own time. A clock set back stands for no time at all; one that jumps ahead, or a process that was
+// stopped, is told apart from time in which answers could have come: nobody is blamed for it.
+func (m *Members) pass(now Micros) {
+	span := max(now-m.clock, 0)
+	m.clock = now
+	if span > stallTimes*m.pace.Probe {
+		m.tally.Stalls++
+		m.ail(2)
+		m.probe = probe{}
+		for _, r := range m.all { // doubts wait as long as we were away
+			if r.State == Suspect {
+				r.Since += span
+			}
+		}
+		for i := range m.relays {
+			m.relays[i].until += span
+		}
+		m.due = m.now + span
+	}
+	m.now += span
+}
+
+func (m *Members) ail(points int) { m.health = min(max(m.health+points, 0), healthMost) }
+
+// Tick does what is due.
+func (m *Members) Tick(now Micros) {
+	m.pass(now)
+	if m.state == Left {
+		return
+	}
+	m.judge()
+	m.relayed()
+	m.probing()
+	m.insist()
+	m.reassure()
+	m.revive()
+	m.pull()
+	m.forget()
+}
+
+// slack is how much longer a router that is itself slow waits.
+func (m *Members) slack() Micros { return Micros(1 + m.health) }
+
+// probing sends the next probe, or goes on with the one under way.
+func (m *Members) probing() {
+	p := &m.probe
+	if p.target != 0 && !p.answered {
+		if age := m.now - p.sent; !p.helped && age >= m.pace.Answer*m.slack() {
+			p.helped = true
+			m.help()
+		}
+	}
+	if m.now < m.due {
+		return
+	}
+	if p.target != 0 && !p.answered {
+		m.missed()
+	}
+	*p = probe{}
+	m.due = max(m.due+m.pace.Probe, m.now) // on the beat, but never a volley for what was missed
+	id := m.pick()
+	if r := m.find(id); r != nil {
+		p.target, p.seq, p.sent = id, m.ping(r), m.now
+		m.due = m.now + m.pace.Probe*m.slack()
+	}
+}
+
+// help asks again, and asks others to try: wards off blaming a member for one way's losses.
+func (m *Members) help() {
+	r := m.find(m.probe.target)
+	if r == nil {
+		return
+	}
+	m.begin(ping).number(m.probe.seq).news(r).send(r.Address)
+	at, n := 0, len(m.all)
+	if n > 0 {
+		at = m.chance.Below(n)
+	}
+	for i := 0; i < n && m.probe.asked < m.pace.Helpers; i++ {
+		h := m.all[(at+i*m.stride(n))%n]
+		if h.State != Alive || h.Mark == r.Mark {
+			continue
+		}
+		m.probe.asked++
+		m.begin(ask).number(m.probe.seq).mark(r.Mark).address(r.Address).news(nil).send(h.Address)
+	}
+}
+
+// stride is a step through n places that meets each once: with it helpers do not stand side by side.
+func (m *Members) stride(n int) int {
+	for s := n/2 + 1; s < n; s++ {
+		if gcd(s, n) == 1 {
+			return s
+		}
+	}
+	return 1
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
+// missed blames the member whose probe went without an answer. Helpers that did not answer either speak against
+// ourselves.
+func (m *Members) missed() {
+	if m.probe.asked > 0 && m.probe.heard == 0 {
+		m.ail(1)
+	}
+	r := m.find(m.probe.target)
+	if r == nil || !r.State.Present() {
+		return
+	}
+	m.suspect(r, r.inc, m.self.Mark)
+	if r.State == Suspect && !slices.Contains(m.accused, r.Mark) && len(m.accused) < accusedMost {
+		m.accused = append(m.accused, r.Mark)
+		m.again = min(m.again, m.now)
+	}
+}
+
+// insist asks those again whom we have accused: a lost answer is no death, and each ping tells of the accusation.
+func (m *Members) insist() {
+	m.accused = slices.DeleteFunc(m.accused, func(id Mark) bool {
+		r := m.find(id)
+		return r == nil || r.State != Suspect
+	})
+	if len(m.accused) == 0 || m.now < m.again {
+		return
+	}
+	m.again = m.now + m.pace.Probe/2
+	for _, id := range m.accused {
+		m.ping(m.find(id))
+	}
+}
+
+// reassure asks for a sign that others hear this router, where none has come for a while: whoever shares work rests
+// without one, and a router that probes slowly would find none.
+func (m *Members) reassure() {
+	if m.now-m.proved <= 2*m.pace.Probe || m.now-m.assured < m.pace.Probe/2 || len(m.all) == 0 {
+		return
+	}
+	m.assured = m.now
+	if r := m.someone(); r != nil {
+		m.ping(r)
+	}
+}
+
+// pick takes the next member to probe: each once in an order by chance, then in another.
+func (m *Members) pick() Mark {
+	for range 2 {
+		for m.next < len(m.order) {
+			id := m.order[m.next]
+			m.next++
+			if r := m.find(id); r != nil && r.State.Present() {
+				return id
+			}
+		}
+		m.order, m.next = m.order[:0], 0
+		for _, r := range m.all {
+			if r.State.Present() {
+				m.order = append(m.order, r.Mark)
+			}
+		}
+		m.chance.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
+	}
+	return 0
+}
+
+// ping asks a member whether it is there.
+func (m *Members) ping(r *member) (seq uint32) {
+	m.seq++
+	m.recents[m.seq%recentMost] = recent{m.seq, m.now}
+	m.begin(ping).number(m.seq).news(r).send(r.Address)
+	return m.seq
+}
+
+// relayed tells askers of those that did not answer.
+func (m *Members) relayed() {
+	m.relays = slices.DeleteFunc(m.relays, func(r relay) bool {
+		if m.now < r.until {
+			return false
+		}
+		m.begin(nack).number(r.theirs).news(nil).send(r.asker)
+		return true
+	})
+}
+
+// revive tries one that is not there: it may be back, or beyond a split that has healed. A newcomer does so faster.
+func (m *Members) revive() {
+	every := reviveEvery
+	if m.now-m.began < youngFor {
+		every = m.pace.Probe / 2
+	}
+	if m.now-m.revived < every {
+		return
+	}
+	m.revived = m.now
+	if n := len(m.all); n > 0 {
+		at := m.chance.Below(n)
+		for i := range n {
+			if r := m.all[(at+i)%n]; !r.State.Present() && r.Address.IsValid() {
+				m.ping(r)
+				break
+			}
+		}
+	}
+	if len(m.seeds) > 0 && (m.Present() == 0 || m.now-m.seeded >= seedEvery) {
+		m.seeded = m.now
+		m.seq++
+		m.recents[m.seq%recentMost] = recent{m.seq, m.now}
+		m.begin(ping).number(m.seq).news(nil).send(m.seeds[m.chance.Below(len(m.seeds))])
+	}
+}
+
+// pull asks a member for a part of its list: mends what no piece of news has brought.
+func (m *Members) pull() {
+	every := pullEvery
+	if m.now-m.began < youngFor {
+		every = m.pace.Probe
+	}
+	if m.now-m.pulled < every || len(m.all) == 0 {
+		return
+	}
+	m.pulled = m.now
+	if r := m.someone(); r != nil {
+		m.begin(pull).mark(m.cursor).news(nil).send(r.Address)
+	}
+}
+
+// someone is a present member by chance, or nil.
+func (m *Members) someone() *member {
+	at := m.chance.Below(len(m.all))
+	for i := range m.all {
+		if r := m.all[(at+i)%len(m.all)]; r.State.Present() {
+			return r
+		}
+	}
+	return nil
+}
+
+// forget drops those that are gone for long, unless the deployment lists them.
+func (m *Members) forget() {
+	m.all = slices.DeleteFunc(m.all, func(r *member) bool {
+		return !r.listed && (r.State == Dead || r.State == Left) && m.now-r.Since > forgetAfter
+	})
+}
+
+// times is how often a piece of news is told.
+func (m *Members) times() int { return tellTimes * int(math.Ceil(math.Log2(float64(len(m.all)+2)))) }
+
+// Leave tells that this router is to go; it works on until Gone.
+func (m *Members) Leave(now Micros) {
+	m.pass(now)
+	if m.state != Alive {
+		return
+	}
+	m.state = Leaving
+	m.inc++
+	m.tellAll(m.pace.Helpers * 2)
+}
+
+// Gone tells that this router ends now.
+func (m *Members) Gone(now Micros) {
+	m.pass(now)
+	if m.state == Left {
+		return
+	}
+	m.state = Left
+	m.inc++
+	for range leaveTimes {
+		m.tellAll(m.pace.Helpers * 2)
+	}
+}
+
+// tellAll tells some members by chance of this router's own state.
+func (m *Members) tellAll(most int) {
+	if len(m.all) == 0 {
+		return
+	}
+	at, step := m.chance.Below(len(m.all)), m.stride(len(m.all))
+	for i := 0; i < len(m.all) && most > 0; i++ {
+		if r := m.all[(at+i*step)%len(m.all)]; r.State.Present() {
+			m.ping(r)
+			most--
+		}
+	}
+}
--- /dev/null
+++ b/members/news.go
@@ -0,0 +1,283 @@
+package members
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"slices"
+)
+
+// Hear takes a datagram.
+func (m *Members) Hear(now Micros, from netip.AddrPort, b []byte) error {
+	m.pass(now)
+	m.tally.Heard++
+	if m.state == Left {
+		return nil
+	}
+	h, err := read(b)
+	if err != nil || h.sender.Mark == m.self.Mark && h.sender.Life == m.self.Life {
+		m.tally.Unreadable++
+		return ErrUnreadable
+	}
+	m.learn(&h.sender, h.sender.Mark, true)
+	for len(h.news.B) > 0 {
+		e := readEntry(&h.news)
+		m.learn(&e, h.sender.Mark, false)
+	}
+	m.answer(&h, from)
+	return nil
+}
+
+// answer does what a datagram asks for.
+func (m *Members) answer(h *heard, from netip.AddrPort) {
+	r := m.find(h.sender.Mark)
+	switch h.kind {
+	case ping:
+		m.begin(ack).number(h.seq).news(r).send(from)
+	case ack:
+		m.prove(h.seq)
+		if p := &m.probe; p.target != 0 && p.seq == h.seq && !p.answered {
+			p.answered = true
+			m.ail(-1)
+		}
+		m.relay(h.seq, r)
+	case ask:
+		if h.who == m.self.Mark || len(m.relays) >= relaysMost {
+			return
+		}
+		t := m.find(h.who)
+		if t != nil {
+			h.where = t.Address
+		}
+		m.seq++
+		m.relays = append(m.relays, relay{seq: m.seq, theirs: h.seq, asker: from, target: h.who,
+			until: m.now + m.pace.Answer})
+		m.begin(ping).number(m.seq).news(t).send(h.where)
+	case nack:
+		if m.probe.seq == h.seq {
+			m.probe.heard++
+		}
+		m.prove(h.seq)
+	case pull:
+		m.list(from, h.who)
+	case page:
+		m.cursor = h.who
+	}
+}
+
+// prove notes that others hear this router: an answer has come to what left then.
+func (m *Members) prove(seq uint32) {
+	if at := m.recents[seq%recentMost]; at.seq == seq && at.sent > m.proved {
+		m.proved = at.sent
+	}
+}
+
+// relay passes an answer on to whom a member was probed for.
+func (m *Members) relay(seq uint32, r *member) {
+	for i, w := range m.relays {
+		if r != nil && w.seq == seq && w.target == r.Mark {
+			m.relays = slices.Delete(m.relays, i, i+1)
+			m.begin(ack).number(w.theirs).entry(r).news(r).send(w.asker)
+			return
+		}
+	}
+}
+
+// list answers a pull: the members after a mark, and where the next part begins; 0 starts over.
+func (m *Members) list(to netip.AddrPort, after Mark) {
+	at, found := m.place(after)
+	if found {
+		at++
+	}
+	end := min(at+pageMost, len(m.all))
+	next := Mark(0)
+	if end < len(m.all) {
+		next = m.all[end-1].Mark
+	}
+	b := m.begin(page).mark(next)
+	for _, r := range m.all[min(at, end):end] {
+		if r.State != Unheard {
+			b = b.entry(r)
+		}
+	}
+	b.send(to)
+}
+
+// learn believes, or not, a piece of news. By is who told it; what a member tells of itself is direct. A death is never
+// believed on another's word: it counts as one more accusation, so that no single datagram can have everyone dead.
+func (m *Members) learn(e *entry, by Mark, direct bool) {
+	if e.Mark == m.self.Mark {
+		m.hearOfSelf(e)
+		return
+	}
+	r := m.find(e.Mark)
+	if r == nil {
+		if !e.state.Present() {
+			return
+		}
+		if r = m.enter(e.Mark); r == nil {
+			return
+		}
+	}
+	if e.accuser == 0 {
+		e.accuser = by
+	}
+	switch {
+	case e.Life < r.Life:
+		r.stale = r.stale || direct // it lives in the past, and is told so
+	case e.Life > r.Life || r.State == Unheard:
+		if !direct && !e.state.Present() {
+			return
+		}
+		m.reborn(r, e, by)
+	case e.state == Alive && e.inc > r.inc:
+		r.inc = e.inc
+		m.move(r, Alive)
+	case e.state == Leaving && (e.inc > r.inc || e.inc == r.inc && r.State == Alive):
+		r.inc = e.inc
+		m.move(r, Leaving)
+	case e.state == Left && (direct || r.State == Leaving) && e.inc >= r.inc:
+		r.inc = e.inc
+		m.move(r, Left)
+	case e.state == Suspect || !e.state.Present():
+		m.suspect(r, e.inc, e.accuser)
+	}
+	if direct && r.Life == e.Life {
+		r.Self = e.Self
+	}
+}
+
+// reborn takes in a member's new life, or the first that is heard of it.
+func (m *Members) reborn(r *member, e *entry, by Mark) {
+	r.Self, r.inc, r.accused = e.Self, e.inc, 0
+	m.tell(r)
+	state := e.state
+	if !state.Present() {
+		state = Suspect
+	}
+	r.State, r.Since = state, m.now
+	if state == Suspect {
+		m.tally.Suspicions++
+		r.accusers[0], r.accused = e.accuser, 1
+	}
+	m.post.Changed(r.Member)
+}
+
+// hearOfSelf refutes what others hold of this router. One that hears of a later life than its own has been started
+// before with a clock that ran ahead, and lives anew after that.
+func (m *Members) hearOfSelf(e *entry) {
+	switch {
+	case e.Life > m.self.Life:
+		m.post.Note(fmt.Sprintf("members: a later life of this router is known, %d after %d: it goes on as a new one",
+			e.Life, m.self.Life))
+		m.self.Life, m.inc = e.Life+1, 0
+		m.post.Changed(m.Self())
+	case e.Life == m.self.Life && e.inc >= m.inc && (e.state != Alive && e.state != m.state):
+		m.inc = e.inc + 1
+		m.tally.Refuted++
+		m.ail(1)
+	}
+}
+
+// suspect enters an accusation.
+func (m *Members) suspect(r *member, inc Incarnation, by Mark) {
+	switch {
+	case inc < r.inc || !r.State.Present() || by == r.Mark:
+		return
+	case r.State == Leaving: // it had told: nothing is to be waited for
+		if by == m.self.Mark {
+			m.move(r, Left)
+		}
+		return
+	case r.State != Suspect || inc > r.inc:
+		m.tally.Suspicions++
+		r.inc, r.accused = inc, 0
+		if r.State == Suspect {
+			r.Since = m.now
+		} else {
+			m.move(r, Suspect)
+		}
+	}
+	for _, a := range r.accusers[:r.accused] {
+		if a == by {
+			return
+		}
+	}
+	if r.accused < len(r.accusers) {
+		r.accusers[r.accused] = by
+		r.accused++
+		m.tell(r)
+	}
+}
+
+// patience is how long a suspect has to refute: the less, the more have accused it by themselves.
+func (m *Members) patience(r *member) Micros {
+	most := min(m.doubt.Accusers, m.Present()-1, accusersMost-1) // that can come to the first
+	if most <= 0 {
+		return (m.doubt.Least + m.doubt.Most) / 2 * m.slack()
+	}
+	share := math.Log(float64(min(r.accused-1, most)+1)) / math.Log(float64(most+1))
+	return (m.doubt.Most - Micros(share*float64(m.doubt.Most-m.doubt.Least))) * m.slack()
+}
+
+// judge believes deaths that were not refuted in time.
+func (m *Members) judge() {
+	for _, r := range m.all {
+		if r.State == Suspect && m.now-r.Since >= m.patience(r) {
+			m.tally.Deaths++
+			m.move(r, Dead)
+		}
+	}
+}
+
+// move is the one place where a member changes its state within one life.
+func (m *Members) move(r *member, to State) {
+	for _, s := range follows[r.State] {
+		if s != to {
+			continue
+		}
+		if to == Left {
+			m.tally.Departures++
+		}
+		r.State, r.Since = to, m.now
+		if to != Suspect {
+			r.accused = 0
+		}
+		m.tell(r)
+		m.post.Changed(r.Member)
+		return
+	}
+}
+
+// tell has the news of a member go round.
+func (m *Members) tell(r *member) {
+	if r.tells <= 0 {
+		m.hot = append(m.hot, r)
+	}
+	r.tells = m.times()
+}
+
+// news adds what is to be told: first what its receiver must know of itself, then what was told least.
+func (d draft) news(to *member) draft {
+	if to != nil && (to.State == Suspect || !to.State.Present() || to.stale) && to.State != Unheard {
+		to.stale = false
+		d = d.entry(to)
+	}
+	m := d.m
+	for d.n+entryMost <= Room {
+		var best *member
+		for _, r := range m.hot {
+			if r != to && r.draft != m.drafts && (best == nil || r.tells > best.tells) {
+				best = r
+			}
+		}
+		if best == nil {
+			break
+		}
+		d = d.entry(best)
+		best.draft = m.drafts
+		best.tells--
+	}
+	m.hot = slices.DeleteFunc(m.hot, func(r *member) bool { return r.tells <= 0 })
+	return d
+}
--- /dev/null
+++ b/members/wire.go
@@ -0,0 +1,182 @@
+package members
+
+import (
+	"encoding/binary"
+	"errors"
+	"math"
+	"net/netip"
+
+	"threadrun/internal/octets"
+)
+
+// A datagram is a kind, what the sender tells of itself, what belongs to the kind, and news of others up to its end.
+type kind byte
+
+const (
+	ping kind = iota + 1 // a number; to be answered
+	ack                  // the number of the ping
+	ask                  // a number and whom to probe for the sender
+	nack                 // the number of the ask: no answer so far, but the helper is there
+	pull                 // from which mark on the list of members is wanted
+	page                 // a part of that list, and where the next begins
+	kindsEnd
+)
+
+// ErrUnreadable is the error of a datagram that is not one of this package's.
+var ErrUnreadable = errors.New("members: unreadable datagram")
+
+const (
+	stateMask  = 0x07
+	longAddr   = 0x08
+	hasAccuser = 0x10
+	entryMost  = 1 + 8 + 10 + 5 + 3 + 3 + 18 + 8
+	weightMost = 1 << 12
+)
+
+// entry is news of one member.
+type entry struct {
+	Self
+	inc     Incarnation
+	state   State
+	accuser Mark
+}
+
+func appendEntry(b []byte, e *entry) []byte {
+	flags := byte(e.state)
+	if octets.Long(e.Address) {
+		flags |= longAddr
+	}
+	if e.accuser != 0 {
+		flags |= hasAccuser
+	}
+	b = octets.AppendWord(append(b, flags), uint64(e.Mark), 8)
+	b = binary.AppendUvarint(b, uint64(e.Life))
+	b = binary.AppendUvarint(b, uint64(e.inc))
+	b = binary.AppendUvarint(b, uint64(e.Zone))
+	b = binary.AppendUvarint(b, uint64(e.Weight))
+	b = octets.AppendAddress(b, e.Address)
+	if e.accuser != 0 {
+		b = octets.AppendWord(b, uint64(e.accuser), 8)
+	}
+	return b
+}
+
+func readEntry(r *octets.Reader) (e entry) {
+	flags := r.Byte()
+	e.state = State(flags & stateMask)
+	e.Mark = Mark(r.Word(8))
+	e.Life = Life(r.Number(1 << 62))
+	e.inc = Incarnation(r.Number(math.MaxInt32))
+	e.Zone = uint16(r.Number(math.MaxUint16))
+	e.Weight = uint16(r.Number(weightMost))
+	e.Address = r.Address(flags&longAddr != 0)
+	if flags&hasAccuser != 0 {
+		e.accuser = Mark(r.Word(8))
+	}
+	if e.state == Unheard || e.state > Left || e.Mark == 0 || flags&^(stateMask|longAddr|hasAccuser) != 0 {
+		r.Bad = true
+	}
+	return e
+}
+
+// heard is a datagram as it was read, but for its news.
+type heard struct {
+	kind   kind
+	sender entry
+	seq    uint32
+	who    Mark
+	where  netip.AddrPort
+	news   octets.Reader
+}
+
+// read takes a datagram apart. Nothing is believed of one that is not whole.
+func read(b []byte) (h heard, err error) {
+	r := octets.Reader{B: b}
+	if len(b) > Room {
+		return h, ErrUnreadable
+	}
+	h.kind = kind(r.Byte())
+	h.sender = readEntry(&r)
+	switch h.kind {
+	case ping, ack, nack:
+		h.seq = uint32(r.Number(math.MaxUint32))
+	case ask:
+		h.seq, h.who = uint32(r.Number(math.MaxUint32)), Mark(r.Word(8))
+		h.where = r.Address(r.Byte() != 0)
+	case pull, page:
+		h.who = Mark(r.Word(8))
+	default:
+		r.Bad = true
+	}
+	for h.news = r; len(r.B) > 0 && !r.Bad; {
+		readEntry(&r)
+	}
+	if r.Bad {
+		return h, ErrUnreadable
+	}
+	return h, nil
+}
+
+// draft is a datagram in the making. It lives in the view's own buffer: one at a time.
+type draft struct {
+	m *Members
+	n int
+}
+
+// begin starts a datagram with what this router tells of itself.
+func (m *Members) begin(k kind) draft {
+	m.drafts++
+	b := append(m.buf[:0], byte(k))
+	return draft{m, len(appendEntry(b, &entry{Self: m.self, inc: m.inc, state: m.state}))}
+}
+
+func (d draft) number(x uint32) draft {
+	d.n = len(binary.AppendUvarint(d.m.buf[:d.n], uint64(x)))
+	return d
+}
+
+func (d draft) mark(x Mark) draft {
+	d.n = len(octets.AppendWord(d.m.buf[:d.n], uint64(x), 8))
+	return d
+}
+
+func (d draft) address(x netip.AddrPort) draft {
+	long := byte(0)
+	if octets.Long(x) {
+		long = 1
+	}
+	d.n = len(octets.AppendAddress(append(d.m.buf[:d.n], long), x))
+	return d
+}
+
+// entry adds news of a member, where there is room.
+func (d draft) entry(r *member) draft {
+	if d.n+entryMost > Room {
+		return d
+	}
+	e := entry{Self: r.Self, inc: r.inc, state: r.State}
+	if r.State == Suspect && r.accused > 0 {
+		e.accuser = r.accusers[d.m.chance.Below(r.accused)]
+		for _, a := range r.accusers[:r.accused] {
+			if a == d.m.self.Mark { // what one has seen oneself goes first
+				e.accuser = a
+			}
+		}
+	}
+	d.n = len(appendEntry(d.m.buf[:d.n], &e))
+	return d
+}
+
+// send gives the datagram out, unless there have been too many.
+func (d draft) send(to netip.AddrPort) {
+	m := d.m
+	m.tokens = min(m.tokens+(m.now-m.filled).Seconds()*perSecond, burst)
+	m.filled = m.now
+	if m.tokens < 1 || !to.IsValid() {
+		m.tally.Held++
+		return
+	}
+	m.tokens--
+	m.tally.Sent++
+	m.post.Send(to, m.buf[:d.n])
+}
