Duties: a newcomer takes nothing before its table matches another's; claims go to those who would stand in

Cause: at a loss of 30% claims went round slower than others stood in for them, so duties flapped between holders (2 to 13 duties moved for each of the dead's); at 300 routers all told their claims to the same first peers, and a restarted router took what it had only not heard of.

Change: letters to the second and third in rank, an ask before standing in, digests with short salted sums, digests of a newcomer answered when all is the same, probes at an even pace whatever the router's health.

--- a/duties/duties.go
+++ b/duties/duties.go
@@ -26,6 +26,7 @@
 
 const (
 	settleAfter = 2 * instant.Second        // of the start: until then peers are being found
+	newMost     = 10 * instant.Second       // a newcomer takes nothing until its table is like another's, but for so long
 	calmAfter   = instant.Second            // that a member must have been there to be given anything
 	evenAfter   = 2 * instant.Second        // without changes of membership, before duties are evened out
 	standIn     = 600 * instant.Millisecond // until the second in rank claims; each further one waits twice that more
@@ -36,12 +37,15 @@
 	recheck   = 400 * instant.Millisecond  // after contact is back: time to hear what others took over
 	tickStale = 300 * instant.Millisecond  // since the last tick: this router was stopped
 
+	topMost = 8 // members that may come to hold a duty, the best first
+
 	spreadEvery = 100 * instant.Millisecond
 	digestEvery = instant.Second
-	digestBusy  = 120 * instant.Millisecond // while there is news
+	digestBusy  = 150 * instant.Millisecond // while there is news
 	busyFor     = instant.Second
 	evenEvery   = 500 * instant.Millisecond
-	perSecond   = 60.0
+	vacantShare = 20 // of the duties: with more of them vacant there is nothing to even out
+	perSecond   = 50.0
 	burst       = 60.0
 )
 
@@ -55,6 +59,27 @@
 	room   int     // what it may take more, in the plan being made
 }
 
+// top is the members that suit a duty best, the best first.
+type top struct {
+	known bool
+	n     int
+	peers [topMost]*peer
+	score [topMost]float64
+}
+
+// enter puts a member in its place, if that is among the best.
+func (t *top) enter(p *peer, s float64) {
+	if t.n == topMost && s <= t.score[topMost-1] {
+		return
+	}
+	t.n = min(t.n+1, topMost)
+	at := t.n - 1
+	for ; at > 0 && t.score[at-1] < s; at-- {
+		t.score[at], t.peers[at] = t.score[at-1], t.peers[at-1]
+	}
+	t.score[at], t.peers[at] = s, p
+}
+
 // Duties is one router's table.
 type Duties struct {
 	self     members.Member
@@ -64,6 +89,8 @@
 	chance   chance.Source
 	now      Micros
 	began    Micros
+	settled  Micros           // since then duties are taken; 0: not yet
+	matched  uint32           // windows of the table that were like another's, by bits
 	changed  Micros           // the last change of membership
 	peers    []*peer          // by mark
 	by       map[Holder]*peer // the same
@@ -71,7 +98,9 @@
 	sums     []uint32 // over each bucket of the table
 	vacant   int
 	planned  Micros
-	dirty    bool // something that a plan rests on has changed
+	dirty    bool // membership has changed since
+	alike    bool // all weigh the same
+	tops     []top
 	fit      bool
 	fitFrom  Micros // not before, once contact is back
 	spread   Micros
@@ -102,6 +131,7 @@
 	}
 	d.vacant = len(d.table)
 	d.buckets()
+	d.tops = make([]top, len(d.table))
 	d.Member(now, self)
 	return d
 }
@@ -133,21 +163,28 @@
 	}
 	p := d.peers[at]
 	was, before := p.Member, p.holder
-	p.Member = m
 	if before == holder && was.State == m.State && was.Weight == m.Weight {
+		p.Member = m
 		return
 	}
 	d.dirty = true
-	if before != holder {
-		d.changed = d.now
+	if before != holder || was.Weight != m.Weight { // what was ranked is another now
 		delete(d.by, before)
-		if p.holder, p.since = holder, d.now; holder == 0 {
+		p = &peer{Member: m, holder: holder, since: p.since, load: p.load}
+		var came *peer
+		went := d.peers[at]
+		if before != holder {
+			d.changed, p.since, p.load = d.now, d.now, 0
+		}
+		if holder == 0 {
 			d.peers = slices.Delete(d.peers, at, at+1)
 		} else {
-			d.by[holder] = p
+			d.peers[at], d.by[holder], came = p, p, p
 		}
-		d.recount(before)
+		d.rerank(came, went)
 	}
+	p.Member = m
+	d.recount(before)
 	d.recount(holder)
 }
 
@@ -161,13 +198,15 @@
 	}
 }
 
-// Tick does what is due. Silence is for how long nothing has proved that others hear this router, alone whether none of
-// them is taken to run.
-func (d *Duties) Tick(now Micros, silence Micros, alone bool) {
+// Tick does what is due.
+func (d *Duties) Tick(now Micros, at members.Standing) {
 	stopped := now-d.now > tickStale
 	d.now = max(d.now, now)
-	d.fence(silence, alone, stopped)
-	if d.now-d.began >= settleAfter {
+	d.fence(at, stopped)
+	if d.settled == 0 && at.Settled && (d.caughtUp() || d.now-d.began > newMost) {
+		d.settled = d.now
+	}
+	if d.settled > 0 {
 		d.fill()
 		d.level()
 	}
@@ -179,13 +218,13 @@
 
 // fence stops this router's work when nothing proves that others hear it: they may believe it dead, and have taken over.
 // Once they do hear it, it first listens for what they took. Alone it works on: so does each side of a split.
-func (d *Duties) fence(silence Micros, alone, stopped bool) {
-	fit := alone || silence < lease && !stopped
+func (d *Duties) fence(at members.Standing, stopped bool) {
+	fit := at.Alone || at.Silence < lease && !stopped
 	switch {
 	case !fit:
 		if d.fit {
 			d.tally.Fenced++
-			d.post.Note(fmt.Sprintf("duties: no contact for %dms, %d duties rest", silence/instant.Millisecond, d.Held()))
+			d.post.Note(fmt.Sprintf("duties: no contact for %dms, %d duties rest", at.Silence/instant.Millisecond, d.Held()))
 		}
 		d.fit, d.fitFrom = false, d.now+recheck
 	case !d.fit && d.now >= d.fitFrom:
@@ -208,6 +247,13 @@
 	return h.term, h.by == d.me
 }
 
+// caughtUp tells whether the whole table has been seen to be like another's: a newcomer would take for vacant what it has
+// only not heard of.
+func (d *Duties) caughtUp() bool {
+	windows := (d.bucketCount() + windowMost - 1) / windowMost
+	return len(d.peers) < 2 || d.matched == 1<<windows-1
+}
+
 // Fit tells whether this router may work on what it holds.
 func (d *Duties) Fit() bool { return d.fit }
 
@@ -283,17 +329,18 @@
 			continue
 		}
 		no := No(i)
-		first, second, third, rank := d.rank(no)
+		three, rank := d.rank(no)
+		first, second, third := three[0], three[1], three[2]
 		if first == nil {
-			return
+			continue
 		}
 		first.room--
-		if first.holder != d.me {
-			wait := Micros(2*rank-1)*standIn - (d.now - max(h.since, d.began+settleAfter))
+		if rank != 0 {
+			wait := Micros(2*rank-1)*standIn - (d.now - max(h.since, d.settled))
 			if rank > 0 && wait < askBefore { // it may have claimed, and the word of it was lost
 				d.write(first, no, ask)
 			}
-			if rank == 0 || wait > 0 {
+			if rank < 0 || wait > 0 {
 				continue
 			}
 			d.by[d.me].room--
@@ -322,45 +369,59 @@
 	d.noted, d.notedAt = d.tally.Taken, d.now
 }
 
-// rank finds the three members with room that suit a duty best, and this router's place among all: 0 if it has none, or
-// is the first.
-func (d *Duties) rank(no No) (first, second, third *peer, rank int) {
-	even := true
-	for _, p := range d.peers {
-		even = even && (p.room <= 0 || p.Weight == d.peers[0].Weight)
+// best gives the members that suit a duty best. It is worked out for the duties that are asked for, and kept up as
+// members come and go.
+func (d *Duties) best(no No) *top {
+	t := &d.tops[no]
+	if !t.known {
+		*t = top{known: true}
+		for _, p := range d.peers {
+			t.enter(p, score(no, p, d.alike))
+		}
 	}
-	var best [3]float64
-	mine := 0.0
-	if me := d.by[d.me]; me != nil && me.room > 0 {
-		mine = score(no, me, even)
+	return t
+}
+
+// rerank keeps the best of all duties up to date with one member that came or went.
+func (d *Duties) rerank(came, went *peer) {
+	alike := !slices.ContainsFunc(d.peers, func(o *peer) bool { return o.Weight != d.peers[0].Weight })
+	for no := range d.tops {
+		t := &d.tops[no]
+		if alike != d.alike || went != nil && slices.Contains(t.peers[:t.n], went) {
+			t.known = false
+		} else if t.known && came != nil {
+			t.enter(came, score(No(no), came, d.alike))
+		}
 	}
-	for _, p := range d.peers {
+	d.alike = alike
+}
+
+// rank finds the three members with room that suit a duty best, and this router's place among those with room: -1 if it
+// is far behind, or has none.
+func (d *Duties) rank(no No) (three [3]*peer, mine int) {
+	n := 0
+	mine = -1
+	t := d.best(no)
+	for _, p := range t.peers[:t.n] {
 		if p.room <= 0 {
 			continue
 		}
-		s := score(no, p, even)
-		if mine > 0 && s > mine {
-			rank++
+		if p.holder == d.me {
+			mine = n
 		}
-		switch {
-		case s > best[0]:
-			first, second, third = p, first, second
-			best[0], best[1], best[2] = s, best[0], best[1]
-		case s > best[1]:
-			second, third = p, second
-			best[1], best[2] = s, best[1]
-		case s > best[2]:
-			third, best[2] = p, s
+		if n < len(three) {
+			three[n] = p
 		}
+		n++
 	}
-	return first, second, third, rank
+	return three, mine
 }
 
 // level hands duties over where this router holds too many, or another far too few. It goes on a few at a time: each
 // offer is taken up by a claim, and until that is heard this router works on.
 func (d *Duties) level() {
 	me := d.by[d.me]
-	if d.vacant > 0 || d.now-d.changed < evenAfter || d.now-d.evened < evenEvery || me == nil || !d.eligible(me) {
+	if d.vacant > len(d.table)/vacantShare || d.now-d.changed < evenAfter || d.now-d.evened < evenEvery || me == nil || !d.eligible(me) {
 		return
 	}
 	d.evened = d.now
@@ -386,23 +447,19 @@
 
 // offer offers so many duties to those that suit them best among those with room.
 func (d *Duties) offer(n int) {
-	for _, p := range d.peers {
-		if p.holder == d.me {
-			continue
+	for i := range d.table {
+		h := &d.table[i]
+		if n <= 0 || len(d.letters) >= lettersMost {
+			return
 		}
-		d.list = d.list[:0]
-		for i := 0; i < len(d.table) && len(d.list) < min(n, p.room, offerMost); i++ {
-			if h := &d.table[i]; h.by == d.me && d.now-h.offered > evenEvery/2 {
-				if first, _, _, _ := d.rank(No(i)); first == p {
-					d.list = append(d.list, No(i))
-				}
-			}
+		if h.by != d.me || h.offered > 0 && d.now-h.offered < evenEvery/2 {
+			continue
 		}
-		if len(d.list) > 0 && d.sendList(offer, p.Address, d.list) > 0 {
-			n -= len(d.list)
-			for _, no := range d.list {
-				d.table[no].offered = d.now
-			}
+		if three, _ := d.rank(No(i)); three[0] != nil && three[0].holder != d.me {
+			d.write(three[0], No(i), offer)
+			three[0].room--
+			h.offered = d.now
+			n--
 		}
 	}
 }
--- a/duties/table.go
+++ b/duties/table.go
@@ -1,6 +1,8 @@
 package duties
 
 import (
+	"cmp"
+	"encoding/binary"
 	"math"
 	"math/bits"
 	"net/netip"
@@ -29,7 +31,8 @@
 	letterTimes = 3 // how often a claim is told to those it matters to
 	letterPause = 100 * instant.Millisecond
 	ownTells    = 3 // times the logarithm of the members
-	relayLess   = 4 // than that: how often a claim of another's is told on
+	relayLess   = 6 // than that: how often a claim of another's is told on
+	inTurn      = 40
 	offerHolds  = 2 * instant.Second
 )
 
@@ -82,7 +85,6 @@
 		p.load++
 	}
 	d.vacate(h, p == nil || p.State == members.Leaving)
-	d.dirty = d.dirty || h.vacant
 }
 
 func (d *Duties) vacate(h *holding, vacant bool) {
@@ -163,7 +165,11 @@
 			}
 		}
 	}
-	d.letters = append(d.letters, letter{to.Mark, no, k, letterTimes, d.now})
+	times := letterTimes
+	if k == offer { // made again if need be
+		times = 1
+	}
+	d.letters = append(d.letters, letter{to.Mark, no, k, times, d.now})
 }
 
 // deliver sends the letters that are due, those to one peer together.
@@ -172,7 +178,7 @@
 		return
 	}
 	for _, p := range d.peers {
-		for _, k := range [...]kind{claims, ask} {
+		for _, k := range [...]kind{claims, ask, offer} {
 			d.list = d.list[:0]
 			for i := range d.letters {
 				l := &d.letters[i]
@@ -197,19 +203,15 @@
 	}
 	d.spread = d.now
 	slices.SortFunc(d.hot, func(a, b No) int {
-		if x, y := d.table[a].tells, d.table[b].tells; x != y {
-			return y - x
-		}
-		return int(a) - int(b)
+		x, y := &d.table[a], &d.table[b] // those of one holder side by side: its name is said once
+		return cmp.Or(cmp.Compare(y.tells, x.tells), cmp.Compare(x.by, y.by), cmp.Compare(a, b))
 	})
 	for range 2 {
 		to := d.other()
 		if to == nil {
 			return
 		}
-		d.list = append(d.list[:0], d.hot[:min(len(d.hot), claimsMost)]...)
-		slices.Sort(d.list)
-		for _, no := range d.list[:d.sendList(claims, to.Address, d.list)] {
+		for _, no := range d.hot[:d.sendList(claims, to.Address, d.hot)] {
 			d.table[no].tells--
 		}
 		if d.hot = slices.DeleteFunc(d.hot, func(no No) bool { return d.table[no].tells <= 0 }); len(d.hot) == 0 {
@@ -218,16 +220,20 @@
 	}
 }
 
-// other is the next peer in turn, not this router; nil if there is none.
+// other is a peer, not this router; nil if there is none. Few are taken in turn, so that each hears; of many, one by
+// chance: were all routers to go round in one order, the first would hear everything and the last nothing.
 func (d *Duties) other() *peer {
-	if len(d.peers) < 2 {
+	n := len(d.peers)
+	if n < 2 {
 		return nil
 	}
-	d.turn++
-	p := d.peers[d.turn%len(d.peers)]
+	if d.turn++; n > inTurn || d.turn == 1 {
+		d.turn = d.chance.Below(n) + 1
+	}
+	p := d.peers[d.turn%n]
 	if p.holder == d.me {
 		d.turn++
-		p = d.peers[d.turn%len(d.peers)]
+		p = d.peers[d.turn%n]
 	}
 	return p
 }
@@ -235,7 +241,7 @@
 // digest tells a peer by chance, in short, what this router knows; that one answers with what differs.
 func (d *Duties) digest() {
 	every := digestEvery
-	if d.vacant > 0 || d.now-d.learned < busyFor {
+	if d.vacant > 0 || d.settled == 0 || d.now-d.learned < busyFor {
 		every = digestBusy
 	}
 	if d.now-d.digested < every {
@@ -267,6 +273,11 @@
 	case digest:
 		d.compare(from, &r)
 		return nil
+	case same:
+		if first := r.Number(Most); !r.Bad {
+			d.matched |= 1 << (first / windowMost)
+		}
+		return nil
 	case ask:
 		return d.asked(from, &r)
 	}
@@ -287,7 +298,7 @@
 	}) {
 	}
 	if len(d.list) > 0 {
-		d.sendList(claims, from, d.list)
+		d.sendList(claims, from, d.byHolder(d.list))
 	}
 	return nil
 }
@@ -318,13 +329,13 @@
 		d.tally.Unreadable++
 		return ErrUnreadable
 	}
-	d.sendList(claims, from, d.list)
+	d.sendList(claims, from, d.byHolder(d.list))
 	return nil
 }
 
 // compare answers a digest with the claims of the buckets that differ.
 func (d *Duties) compare(from netip.AddrPort, r *octets.Reader) {
-	first, salt, sums := readDigest(r)
+	first, salt, sums, asks := readDigest(r)
 	d.list = d.list[:0]
 	start := 0
 	if len(sums) > 0 { // from anywhere: else the last ones would wait until the first agree
@@ -345,7 +356,10 @@
 			break
 		}
 	}
-	for rest := d.list; len(rest) > 0; {
+	if len(d.list) == 0 && asks {
+		d.send(from, binary.AppendUvarint(d.begin(same), uint64(first)))
+	}
+	for rest := d.byHolder(d.list); len(rest) > 0; {
 		n := d.sendList(claims, from, rest)
 		if n == 0 {
 			break
--- a/duties/wire.go
+++ b/duties/wire.go
@@ -1,6 +1,7 @@
 package duties
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math"
 	"net/netip"
@@ -17,7 +18,8 @@
 	claims kind = iota + 1 // who holds what under which term, by holder
 	offer                  // the same, of duties that the sender hands over
 	ask                    // which duties' holders are wanted
-	digest                 // the first bucket, and a sum over each
+	digest                 // whether to be told that all is the same, the first bucket, and a sum over each
+	same                   // the first bucket of a digest that is the same
 	kindsEnd
 )
 
@@ -39,27 +41,24 @@
 
 func appendHolder(b []byte, h Holder) []byte { return octets.AppendWord(b, uint64(h), holderSize) }
 
-// sendList sends claims of duties, sorted by holder, and tells how many of the list went.
+// byHolder puts those of one holder side by side: its name is said once.
+func (d *Duties) byHolder(list []No) []No {
+	slices.SortFunc(list, func(x, y No) int {
+		return cmp.Or(cmp.Compare(d.table[x].by, d.table[y].by), cmp.Compare(x, y))
+	})
+	return list
+}
+
+// sendList sends claims of duties, in the order given, and tells how many of the list went.
 func (d *Duties) sendList(k kind, to netip.AddrPort, list []No) (sent int) {
 	b := d.begin(k)
 	list = list[:min(len(list), claimsMost)]
 	if k == ask {
 		return d.sendAsk(to, b, list)
 	}
-	if k == claims { // those of one holder side by side: its name is said once
-		slices.SortFunc(list, func(x, y No) int {
-			if a, b := d.table[x].by, d.table[y].by; a != b {
-				if a < b {
-					return -1
-				}
-				return 1
-			}
-			return int(x) - int(y)
-		})
-	}
 	for sent < len(list) {
 		by, end := d.table[list[sent]].by, sent
-		for end < len(list) && d.table[list[end]].by == by {
+		for end++; end < len(list) && d.table[list[end]].by == by && list[end] > list[end-1]; {
 			end++
 		}
 		head := len(b)
@@ -112,7 +111,11 @@
 // sendDigest sends the sums of some buckets.
 func (d *Duties) sendDigest(to netip.AddrPort, first, end int) {
 	salt := byte(d.chance.Next())
-	b := append(binary.AppendUvarint(d.begin(digest), uint64(first)), salt)
+	asks := byte(0)
+	if d.settled == 0 {
+		asks = 1
+	}
+	b := append(binary.AppendUvarint(append(d.begin(digest), asks), uint64(first)), salt)
 	for _, s := range d.sums[first:end] {
 		if len(b)+shortSize > Room {
 			break
@@ -189,11 +192,12 @@
 	return !r.Bad && len(r.B) > 0
 }
 
-// readDigest reads the sums of some buckets, and which is the first.
-func readDigest(r *octets.Reader) (first int, salt byte, sums []uint16) {
+// readDigest reads the sums of some buckets.
+func readDigest(r *octets.Reader) (first int, salt byte, sums []uint16, asks bool) {
+	asks = r.Byte() == 1
 	first, salt = int(r.Number(Most)), r.Byte()
 	for !r.Bad && len(r.B) >= shortSize && len(sums) < windowMost {
 		sums = append(sums, uint16(r.Word(shortSize)))
 	}
-	return first, salt, sums
+	return first, salt, sums, asks
 }
--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -223,8 +223,7 @@
 	}
 	now := n.clock()
 	n.Members.Tick(now)
-	silence, alone := n.Members.Contact()
-	n.Duties.Tick(now, silence, alone)
+	n.Duties.Tick(now, n.Members.Standing())
 	n.work()
 }
 
@@ -313,8 +312,7 @@
 	n.Stopped = false
 	now := n.clock()
 	n.Members.Tick(now)
-	silence, alone := n.Members.Contact()
-	n.Duties.Tick(now, silence, alone)
+	n.Duties.Tick(now, n.Members.Standing())
 	for _, e := range n.waiting {
 		n.hear(n.crowd.Nodes[e.from].Address, e.b)
 	}
--- a/members/api.go
+++ b/members/api.go
@@ -66,6 +66,13 @@
 	Since Micros // of the state, on the clock of who holds it
 }
 
+// Standing is how a router stands to the others.
+type Standing struct {
+	Silence Micros // since the last of its datagrams left that is known to have been answered
+	Alone   bool   // no other is taken to run
+	Settled bool   // it has been there for long enough to know who is
+}
+
 // Post takes what comes out. It is called only from within calls of Members.
 type Post interface {
 	Send(to netip.AddrPort, b []byte) // b is good within the call only
@@ -76,8 +83,9 @@
 // Pace is how members are probed.
 type Pace struct {
 	Probe   Micros // one member is probed in so long
-	Answer  Micros // its own answer is awaited for so long before helpers are asked
-	Helpers int    // asked to probe it for us
+	Answer  Micros // an answer is awaited for so long before it is asked again
+	Tries   int    // with the last one helpers are asked to probe it for us
+	Helpers int
 }
 
 // Doubt is how long a suspect has to refute: Most for an accusation by one, Least once Accusers have come to it each
@@ -89,7 +97,7 @@
 
 // Ordinary figures, for routers some milliseconds apart.
 var (
-	OrdinaryPace  = Pace{Probe: 200 * instant.Millisecond, Answer: 80 * instant.Millisecond, Helpers: 3}
+	OrdinaryPace  = Pace{Probe: 150 * instant.Millisecond, Answer: 75 * instant.Millisecond, Tries: 3, Helpers: 3}
 	OrdinaryDoubt = Doubt{Least: 700 * instant.Millisecond, Most: 2400 * instant.Millisecond, Accusers: 3}
 )
 
--- a/members/members.go
+++ b/members/members.go
@@ -22,20 +22,23 @@
 	membersMost = 4096
 
 	stallTimes  = 3 // times the probe period between two ticks: this router itself was stopped
-	healthMost  = 8 // each point makes a router wait that much longer before it blames another
+	healthMost  = 8 // points; each has a router wait longer for answers
+	wariness    = 4 // points that double the time until it believes a death
 	accusedMost = 4 // suspects of our own that are asked again and again
 	relaysMost  = 32
-	recentMost  = 16 // pings whose late answers still prove that we are heard
+	recentMost  = 32 // pings whose late answers still prove that we are heard
 
 	tellTimes = 3 // times the logarithm of the members: how often a piece of news is told
 
 	pullEvery   = instant.Second
 	reviveEvery = instant.Second // one that is not there is tried
 	seedEvery   = 10 * instant.Second
-	youngFor    = 3 * instant.Second // a newcomer asks around faster
+	youngFor    = 3 * instant.Second         // a newcomer tries its peers faster
+	settleLeast = 1500 * instant.Millisecond // of the start: until then peers are being found
+	settleMost  = 6 * instant.Second
 	forgetAfter = 10 * instant.Minute
 	leaveTimes  = 3 // how often a departure is told at its end
-	pageMost    = 8
+	pagesMost   = 2 // that one pull is answered with
 )
 
 // member is one record.
@@ -44,7 +47,8 @@
 	inc      Incarnation
 	accusers [accusersMost]Mark
 	accused  int
-	tells    int    // how often its news is to be told still
+	tells    int // how often its news is to be told still
+	urgent   bool
 	draft    uint64 // the datagram it was told in last
 	stale    bool   // it spoke as in an earlier life, and is to hear of the later one
 	listed   bool   // by the deployment: never forgotten
@@ -52,15 +56,15 @@
 
 const accusersMost = 4
 
-// probe is the one that is under way.
+// probe is one under way.
 type probe struct {
-	target   Mark // Nobody: none
-	seq      uint32
-	sent     Micros
-	helped   bool // helpers were asked
-	asked    int
-	heard    int // helpers that answered at all
-	answered bool
+	target Mark
+	seq    uint32
+	sent   Micros
+	until  Micros
+	tries  int // of our own; with the last one helpers are asked
+	asked  int
+	heard  int // helpers that answered at all
 }
 
 // relay is a probe for another.
@@ -93,26 +97,29 @@
 	drafts  uint64
 	order   []Mark // in which members are probed
 	next    int
-	probe   probe
+	ring    bool
+	probes  []probe
 	due     Micros // the next probe
 	seq     uint32
 	recents [recentMost]recent
 	relays  []relay
 	accused []Mark // whom we have accused ourselves
-	again   Micros // when they are asked again
+	again   Micros // when the next of them is asked again
+	asked   int
 	seeds   []netip.AddrPort
 	health  int
 	proved  Micros // when that left which is known to have been answered; 0: never
 	pulled  Micros
 	assured Micros
 	cursor  Mark
+	listed  bool // a whole list has been seen
 	revived Micros
 	seeded  Micros
 	tokens  float64
 	filled  Micros
 	crowded bool
 	tally   Tally
-	buf     [Room]byte
+	buf     [Room + entryMost]byte // a datagram in the making, and what turns out not to fit
 }
 
 // New makes the view of a router that has just started.
@@ -205,13 +212,11 @@
 // Tally counts what has happened.
 func (m *Members) Tally() Tally { return m.tally }
 
-// Contact tells for how long nothing has proved that others hear this router: since the last of its datagrams left that
-// is known to have been answered. With nobody else there is none to prove it.
-func (m *Members) Contact() (silence Micros, alone bool) {
-	if m.proved == 0 {
-		return m.now - m.began, m.Present() == 0
-	}
-	return m.now - m.proved, m.Present() == 0
+// Standing tells how this router stands to the others.
+func (m *Members) Standing() Standing {
+	at := Standing{Silence: m.now - max(m.proved, m.began), Alone: m.Present() == 0}
+	at.Settled = m.now-m.began >= settleLeast && m.listed || m.now-m.began >= settleMost
+	return at
 }
 
 // pass moves the own time. A clock set back stands for no time at all; one that jumps ahead, or a process that was
@@ -222,7 +227,7 @@
 	if span > stallTimes*m.pace.Probe {
 		m.tally.Stalls++
 		m.ail(2)
-		m.probe = probe{}
+		m.probes = m.probes[:0]
 		for _, r := range m.all { // doubts wait as long as we were away
 			if r.State == Suspect {
 				r.Since += span
@@ -254,51 +259,61 @@
 	m.forget()
 }
 
-// slack is how much longer a router that is itself slow waits.
+// slack is how many times longer a router that is itself slow waits for an answer.
 func (m *Members) slack() Micros { return Micros(1 + m.health) }
 
-// probing sends the next probe, or goes on with the one under way.
+// probing goes on with the probes under way and begins the next one. A router that is itself slow waits longer for each,
+// and probes no less.
 func (m *Members) probing() {
-	p := &m.probe
-	if p.target != 0 && !p.answered {
-		if age := m.now - p.sent; !p.helped && age >= m.pace.Answer*m.slack() {
-			p.helped = true
-			m.help()
+	for i := range m.probes {
+		if p := &m.probes[i]; p.tries < m.pace.Tries && m.now-p.sent >= m.pace.Answer*Micros(p.tries)*m.slack() {
+			p.tries++
+			m.try(p)
+		}
+	}
+	left := m.probes[:0]
+	for i := range m.probes {
+		if p := &m.probes[i]; m.now < p.until {
+			left = append(left, *p)
+		} else {
+			m.missed(p)
 		}
 	}
+	m.probes = left
 	if m.now < m.due {
 		return
 	}
-	if p.target != 0 && !p.answered {
-		m.missed()
-	}
-	*p = probe{}
-	m.due = max(m.due+m.pace.Probe, m.now) // on the beat, but never a volley for what was missed
-	id := m.pick()
-	if r := m.find(id); r != nil {
-		p.target, p.seq, p.sent = id, m.ping(r), m.now
-		m.due = m.now + m.pace.Probe*m.slack()
+	m.due = max(m.due+m.pace.Probe, m.now+m.pace.Probe/2) // on the beat, but never a volley for what was missed
+	if r := m.find(m.pick()); r != nil {
+		m.probes = append(m.probes, probe{target: r.Mark, seq: m.ping(r), sent: m.now, tries: 1,
+			until: m.now + m.pace.Answer*Micros(m.pace.Tries+1)*m.slack()})
 	}
 }
 
-// help asks again, and asks others to try: wards off blaming a member for one way's losses.
-func (m *Members) help() {
-	r := m.find(m.probe.target)
+// probed finds the probe that an answer is for; -1: none.
+func (m *Members) probed(seq uint32) int {
+	return slices.IndexFunc(m.probes, func(p probe) bool { return p.seq == seq })
+}
+
+// try asks again, and at last asks others to try: wards off blaming a member for lost datagrams, or for one way's.
+func (m *Members) try(p *probe) {
+	r := m.find(p.target)
 	if r == nil {
 		return
 	}
-	m.begin(ping).number(m.probe.seq).news(r).send(r.Address)
-	at, n := 0, len(m.all)
-	if n > 0 {
-		at = m.chance.Below(n)
+	m.begin(ping).number(p.seq).news(r).send(r.Address)
+	if p.tries < m.pace.Tries {
+		return
 	}
-	for i := 0; i < n && m.probe.asked < m.pace.Helpers; i++ {
+	n := len(m.all)
+	at := m.chance.Below(n)
+	for i := 0; i < n && p.asked < m.pace.Helpers; i++ {
 		h := m.all[(at+i*m.stride(n))%n]
 		if h.State != Alive || h.Mark == r.Mark {
 			continue
 		}
-		m.probe.asked++
-		m.begin(ask).number(m.probe.seq).mark(r.Mark).address(r.Address).news(nil).send(h.Address)
+		p.asked++
+		m.begin(ask).number(p.seq).mark(r.Mark).address(r.Address).news(nil).send(h.Address)
 	}
 }
 
@@ -321,11 +336,11 @@
 
 // missed blames the member whose probe went without an answer. Helpers that did not answer either speak against
 // ourselves.
-func (m *Members) missed() {
-	if m.probe.asked > 0 && m.probe.heard == 0 {
+func (m *Members) missed(p *probe) {
+	if p.asked > 0 && p.heard == 0 {
 		m.ail(1)
 	}
-	r := m.find(m.probe.target)
+	r := m.find(p.target)
 	if r == nil || !r.State.Present() {
 		return
 	}
@@ -345,10 +360,9 @@
 	if len(m.accused) == 0 || m.now < m.again {
 		return
 	}
-	m.again = m.now + m.pace.Probe/2
-	for _, id := range m.accused {
-		m.ping(m.find(id))
-	}
+	m.again = m.now + m.pace.Answer/2
+	m.asked++
+	m.ping(m.find(m.accused[m.asked%len(m.accused)]))
 }
 
 // reassure asks for a sign that others hear this router, where none has come for a while: whoever shares work rests
@@ -363,8 +377,18 @@
 	}
 }
 
-// pick takes the next member to probe: each once in an order by chance, then in another.
+// pick takes the next member to probe. Every other time it is the one that comes after this router by mark: so each is
+// probed by someone in every second period, and no death lies unseen for long. In between it is each once in an order by
+// chance, then in another: so that accusers are many.
 func (m *Members) pick() Mark {
+	if m.ring = !m.ring; m.ring {
+		at, _ := m.place(m.self.Mark)
+		for i := range m.all {
+			if r := m.all[(at+i)%len(m.all)]; r.State == Alive {
+				return r.Mark
+			}
+		}
+	}
 	for range 2 {
 		for m.next < len(m.order) {
 			id := m.order[m.next]
@@ -430,18 +454,19 @@
 	}
 }
 
-// pull asks a member for a part of its list: mends what no piece of news has brought.
+// pull asks a member for a part of its list: mends what no piece of news has brought. A newcomer asks on until it has seen
+// a whole list.
 func (m *Members) pull() {
 	every := pullEvery
-	if m.now-m.began < youngFor {
-		every = m.pace.Probe
+	if !m.listed && m.now-m.began < settleMost {
+		every = m.pace.Answer
 	}
 	if m.now-m.pulled < every || len(m.all) == 0 {
 		return
 	}
 	m.pulled = m.now
 	if r := m.someone(); r != nil {
-		m.begin(pull).mark(m.cursor).news(nil).send(r.Address)
+		m.begin(pull).mark(m.cursor).news(r).send(r.Address)
 	}
 }
 
--- a/members/news.go
+++ b/members/news.go
@@ -36,8 +36,8 @@
 		m.begin(ack).number(h.seq).news(r).send(from)
 	case ack:
 		m.prove(h.seq)
-		if p := &m.probe; p.target != 0 && p.seq == h.seq && !p.answered {
-			p.answered = true
+		if i := m.probed(h.seq); i >= 0 {
+			m.probes = slices.Delete(m.probes, i, i+1)
 			m.ail(-1)
 		}
 		m.relay(h.seq, r)
@@ -54,13 +54,14 @@
 			until: m.now + m.pace.Answer})
 		m.begin(ping).number(m.seq).news(t).send(h.where)
 	case nack:
-		if m.probe.seq == h.seq {
-			m.probe.heard++
+		if i := m.probed(h.seq); i >= 0 {
+			m.probes[i].heard++
 		}
 		m.prove(h.seq)
 	case pull:
 		m.list(from, h.who)
 	case page:
+		m.listed = m.listed || h.who == 0
 		m.cursor = h.who
 	}
 }
@@ -77,7 +78,8 @@
 	for i, w := range m.relays {
 		if r != nil && w.seq == seq && w.target == r.Mark {
 			m.relays = slices.Delete(m.relays, i, i+1)
-			m.begin(ack).number(w.theirs).entry(r).news(r).send(w.asker)
+			d, _ := m.begin(ack).number(w.theirs).entry(r)
+			d.news(nil).send(w.asker)
 			return
 		}
 	}
@@ -89,18 +91,26 @@
 	if found {
 		at++
 	}
-	end := min(at+pageMost, len(m.all))
-	next := Mark(0)
-	if end < len(m.all) {
-		next = m.all[end-1].Mark
-	}
-	b := m.begin(page).mark(next)
-	for _, r := range m.all[min(at, end):end] {
-		if r.State != Unheard {
-			b = b.entry(r)
+	for range pagesMost {
+		b, end := m.begin(page), at
+		head := b.n
+		b = b.mark(0)
+		for fits := true; end < len(m.all) && fits; {
+			if m.all[end].State != Unheard {
+				b, fits = b.entry(m.all[end])
+			}
+			if fits {
+				end++
+			}
+		}
+		if end < len(m.all) && end > 0 {
+			draft{m, head}.mark(m.all[end-1].Mark)
+		}
+		b.send(to)
+		if at = end; at >= len(m.all) {
+			return
 		}
 	}
-	b.send(to)
 }
 
 // learn believes, or not, a piece of news. By is who told it; what a member tells of itself is direct. A death is never
@@ -150,7 +160,7 @@
 // reborn takes in a member's new life, or the first that is heard of it.
 func (m *Members) reborn(r *member, e *entry, by Mark) {
 	r.Self, r.inc, r.accused = e.Self, e.inc, 0
-	m.tell(r)
+	m.tell(r, false)
 	state := e.state
 	if !state.Present() {
 		state = Suspect
@@ -206,7 +216,7 @@
 	if r.accused < len(r.accusers) {
 		r.accusers[r.accused] = by
 		r.accused++
-		m.tell(r)
+		m.tell(r, true)
 	}
 }
 
@@ -214,12 +224,15 @@
 func (m *Members) patience(r *member) Micros {
 	most := min(m.doubt.Accusers, m.Present()-1, accusersMost-1) // that can come to the first
 	if most <= 0 {
-		return (m.doubt.Least + m.doubt.Most) / 2 * m.slack()
+		return m.wary((m.doubt.Least + m.doubt.Most) / 2)
 	}
 	share := math.Log(float64(min(r.accused-1, most)+1)) / math.Log(float64(most+1))
-	return (m.doubt.Most - Micros(share*float64(m.doubt.Most-m.doubt.Least))) * m.slack()
+	return m.wary(m.doubt.Most - Micros(share*float64(m.doubt.Most-m.doubt.Least)))
 }
 
+// wary is how much longer a router that is itself slow waits before it believes a death.
+func (m *Members) wary(t Micros) Micros { return t + t*Micros(m.health)/wariness }
+
 // judge believes deaths that were not refuted in time.
 func (m *Members) judge() {
 	for _, r := range m.all {
@@ -243,40 +256,50 @@
 		if to != Suspect {
 			r.accused = 0
 		}
-		m.tell(r)
+		m.tell(r, true)
 		m.post.Changed(r.Member)
 		return
 	}
 }
 
-// tell has the news of a member go round.
-func (m *Members) tell(r *member) {
+// sooner tells whether news of a member goes before that of another: doubts and their end before who has come.
+func (r *member) sooner(o *member) bool {
+	return r.urgent && !o.urgent || r.urgent == o.urgent && r.tells > o.tells
+}
+
+// tell has the news of a member go round. Of one that has come it does so less: lists that are pulled tell of it too.
+func (m *Members) tell(r *member, urgent bool) {
 	if r.tells <= 0 {
 		m.hot = append(m.hot, r)
+		r.urgent = false
+	}
+	r.urgent = r.urgent || urgent
+	if r.tells = m.times(); !r.urgent {
+		r.tells /= tellTimes
 	}
-	r.tells = m.times()
 }
 
 // news adds what is to be told: first what its receiver must know of itself, then what was told least.
 func (d draft) news(to *member) draft {
 	if to != nil && (to.State == Suspect || !to.State.Present() || to.stale) && to.State != Unheard {
 		to.stale = false
-		d = d.entry(to)
+		d, _ = d.entry(to)
 	}
 	m := d.m
-	for d.n+entryMost <= Room {
+	for fits := true; fits; {
 		var best *member
 		for _, r := range m.hot {
-			if r != to && r.draft != m.drafts && (best == nil || r.tells > best.tells) {
+			if r != to && r.draft != m.drafts && (best == nil || r.sooner(best)) {
 				best = r
 			}
 		}
 		if best == nil {
 			break
 		}
-		d = d.entry(best)
-		best.draft = m.drafts
-		best.tells--
+		if d, fits = d.entry(best); fits {
+			best.draft = m.drafts
+			best.tells--
+		}
 	}
 	m.hot = slices.DeleteFunc(m.hot, func(r *member) bool { return r.tells <= 0 })
 	return d
--- a/members/wire.go
+++ b/members/wire.go
@@ -150,10 +150,7 @@
 }
 
 // entry adds news of a member, where there is room.
-func (d draft) entry(r *member) draft {
-	if d.n+entryMost > Room {
-		return d
-	}
+func (d draft) entry(r *member) (draft, bool) {
 	e := entry{Self: r.Self, inc: r.inc, state: r.State}
 	if r.State == Suspect && r.accused > 0 {
 		e.accuser = r.accusers[d.m.chance.Below(r.accused)]
@@ -163,8 +160,12 @@
 			}
 		}
 	}
-	d.n = len(appendEntry(d.m.buf[:d.n], &e))
-	return d
+	n := len(appendEntry(d.m.buf[:d.n], &e))
+	if n > Room {
+		return d, false
+	}
+	d.n = n
+	return d, true
 }
 
 // send gives the datagram out, unless there have been too many.
