--- a/duties/duties.go
+++ b/duties/duties.go
@@ -41,7 +41,7 @@
 
 	spreadEvery = 100 * instant.Millisecond
 	digestEvery = instant.Second
-	digestBusy  = 150 * instant.Millisecond // while there is news
+	digestBusy  = 120 * instant.Millisecond // while there is news
 	busyFor     = instant.Second
 	evenEvery   = 500 * instant.Millisecond
 	vacantShare = 20 // of the duties: with more of them vacant there is nothing to even out
