Members and duties against plain models, and a tier's hard cases on virtual time

Found on the way and mended: a router that hears and is not heard believed itself alone and worked on everything; the last of nine routers took over twenty seconds to believe the others dead; clocks before the epoch broke lives.

--- /dev/null
+++ b/duties/duties_test.go
@@ -0,0 +1,223 @@
+package duties
+
+import (
+	"errors"
+	"flag"
+	"net/netip"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"threadrun/instant"
+	"threadrun/members"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261201")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+const (
+	ms  = instant.Millisecond
+	all = 37
+)
+
+// book records what a table gives out.
+type book struct {
+	took, yielded map[No]Term
+	sent          [][]byte
+}
+
+func (b *book) Send(_ netip.AddrPort, d []byte) { b.sent = append(b.sent, append([]byte(nil), d...)) }
+func (b *book) Took(no No, t Term)              { b.took[no] = t }
+func (b *book) Yielded(no No, t Term)           { b.yielded[no] = t }
+func (b *book) Note(string)                     {}
+
+func member(i int, life members.Life) members.Member {
+	return members.Member{Self: members.Self{Mark: members.Mark(i + 1), Life: life, Zone: 1, Weight: 1,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), 7946)}, State: members.Alive}
+}
+
+func table() (*Duties, *book) {
+	b := &book{took: map[No]Term{}, yielded: map[No]Term{}}
+	return New(0, member(0, 1), b, 3, all, OrdinaryEvenness), b
+}
+
+var well = members.Standing{Settled: true}
+
+// Against a plain model, after every step: of all claims heard for a duty the one with the highest term stands, of those
+// the one that ranks first; a duty of this router's is told as taken, and as yielded once another's stands.
+func TestTheHighestClaimStands(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d, b := table()
+		type plain struct {
+			term Term
+			by   Holder
+		}
+		model := make([]plain, all)
+		for i := 1; i < 5; i++ {
+			d.Member(0, member(i, 1))
+		}
+		now := Micros(0)
+		teller, _ := table()
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now += Micros(rapid.IntRange(1, 200).Draw(rt, "pause")) * ms
+			switch rapid.IntRange(0, 5).Draw(rt, "step") {
+			case 0:
+				d.Tick(now, well)
+				for no, term := range b.took {
+					if m := &model[no]; term > m.term {
+						if term != m.term+1 {
+							rt.Fatalf("duty %d taken under term %d after %d", no, term, m.term)
+						}
+						*m = plain{term, d.me}
+					}
+				}
+			case 1:
+				i := rapid.IntRange(1, 4).Draw(rt, "member")
+				m := member(i, members.Life(rapid.IntRange(1, 3).Draw(rt, "life")))
+				m.State = rapid.SampledFrom([]members.State{members.Alive, members.Suspect, members.Leaving, members.Dead}).Draw(rt, "state")
+				d.Member(now, m)
+			default:
+				by := HolderOf(members.Mark(rapid.IntRange(2, 5).Draw(rt, "by")), 1)
+				no := No(rapid.IntRange(0, all-1).Draw(rt, "duty"))
+				term := Term(rapid.IntRange(1, 6).Draw(rt, "term"))
+				teller.table[no] = holding{term: term, by: by}
+				sent := len(b.sent)
+				teller.post.(*book).sent, teller.tokens = nil, burst
+				teller.sendList(claims, netip.AddrPort{}, []No{no})
+				if err := d.Hear(now, netip.AddrPort{}, teller.post.(*book).sent[0]); err != nil {
+					rt.Fatal(err)
+				}
+				m := &model[no]
+				if term > m.term || term == m.term && outranks(no, by, m.by) {
+					if m.by == d.me && b.yielded[no] != m.term {
+						rt.Fatalf("duty %d of term %d was not told as yielded", no, m.term)
+					}
+					*m = plain{term, by}
+				} else if by != m.by && len(b.sent) == sent && d.tokens >= 1 {
+					rt.Fatalf("a claim of term %d was not answered with that of term %d", term, m.term)
+				}
+			}
+			vacant := 0
+			for no := range all {
+				h, m := &d.table[no], &model[no]
+				if h.term != m.term || h.by != m.by {
+					rt.Fatalf("duty %d: term %d by %x, the model has %d by %x", no, h.term, h.by, m.term, m.by)
+				}
+				p := d.by[m.by]
+				if gone := p == nil || p.State == members.Leaving; gone != h.vacant {
+					rt.Fatalf("duty %d is vacant: %v", no, h.vacant)
+				}
+				if h.vacant {
+					vacant++
+				}
+				if _, mine := d.Mine(No(no), now); mine && (m.by != d.me || !d.fit) {
+					rt.Fatalf("duty %d is taken for this router's", no)
+				}
+			}
+			sums := append([]uint32(nil), d.sums...)
+			clear(d.sums)
+			for no := range all {
+				d.mark(No(no))
+			}
+			for i := range sums {
+				if sums[i] != d.sums[i] {
+					rt.Fatalf("the sum over bucket %d went astray", i)
+				}
+			}
+			if vacant != d.vacant {
+				rt.Fatalf("%d vacant, %d counted", vacant, d.vacant)
+			}
+			for _, p := range d.peers {
+				held := 0
+				for no := range all {
+					if d.table[no].by == p.holder {
+						held++
+					}
+				}
+				if held != p.load {
+					rt.Fatalf("a load of %d counted as %d", held, p.load)
+				}
+			}
+		}
+	})
+}
+
+// Only harmless work can be shared: there is no other way to come by a piece of work than the one check.
+func TestOnlyHarmlessWork(t *testing.T) {
+	for k := Kind(0); k < 10; k++ {
+		if w, err := NewWork(k, 1, false); !errors.Is(err, ErrNotHarmless) || w.Valid() {
+			t.Errorf("kind %d that must not run twice was let in", k)
+		}
+		w, err := NewWork(k, 1, true)
+		if known := k == Renewing || k == Probing; known != (err == nil) || known != w.Valid() || known && k.Doubled() == "" {
+			t.Errorf("kind %d: %v", k, err)
+		}
+	}
+	if (Work{}).Valid() {
+		t.Error("work of no kind is valid")
+	}
+	s := Shares{Renewing: 10, Probing: 5}
+	for key := range uint64(200) {
+		w, _ := NewWork(Renewing, key, true)
+		p, _ := NewWork(Probing, key, true)
+		if a, ok := s.Of(w); !ok || a >= 10 {
+			t.Fatal("a renewal's duty", a)
+		}
+		if a, ok := s.Of(p); !ok || a < 10 || a >= 15 {
+			t.Fatal("a probe's duty", a)
+		}
+	}
+	if _, ok := s.Of(Work{}); ok {
+		t.Error("work of no kind has a duty")
+	}
+}
+
+// Whatever bytes come, nothing breaks, and what is cut short changes nothing.
+func TestAnyBytes(t *testing.T) {
+	d, b := table()
+	for i := 1; i < 4; i++ {
+		d.Member(0, member(i, 1))
+	}
+	other, theirs := table()
+	for no := range all {
+		other.claim(No(no))
+	}
+	other.sendList(claims, netip.AddrPort{}, []No{1, 5, 9, 30})
+	other.sendDigest(netip.AddrPort{}, 0, other.bucketCount())
+	other.sendAsk(netip.AddrPort{}, other.begin(ask), []No{1, 2})
+	whole := theirs.sent
+	rapid.Check(t, func(rt *rapid.T) {
+		x := append([]byte(nil), rapid.SampledFrom(whole).Draw(rt, "datagram")...)
+		switch rapid.IntRange(0, 2).Draw(rt, "how") {
+		case 0:
+			x = x[:rapid.IntRange(0, len(x)).Draw(rt, "cut")]
+		case 1:
+			x[rapid.IntRange(0, len(x)-1).Draw(rt, "at")] ^= byte(1 << rapid.IntRange(0, 7).Draw(rt, "bit"))
+		default:
+			x = rapid.SliceOfN(rapid.Byte(), 0, 300).Draw(rt, "noise")
+		}
+		_ = d.Hear(1, netip.AddrPort{}, x)
+		b.sent = nil
+	})
+	_ = d.Hear(1, netip.AddrPort{}, whole[0][:len(whole[0])-1])
+	if d.tally.Unreadable == 0 {
+		t.Error("nothing was found unreadable")
+	}
+}
+
+func BenchmarkMine(b *testing.B) {
+	d, _ := table()
+	d.Tick(second, well)
+	d.Tick(2*second, well)
+	b.ReportAllocs()
+	for i := range b.N {
+		d.Mine(No(i%all), 2*second)
+	}
+}
+
+const second = instant.Second
--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -70,7 +70,7 @@
 	c.Ledger = newLedger(shares.All(), every)
 	for i := range routers {
 		c.Nodes = append(c.Nodes, &Node{crowd: c, at: i, Address: address(i), Weight: 1,
-			skew: Micros(c.chance.Below(int(anHour)))})
+			skew: 100*anHour + Micros(c.chance.Below(int(anHour)))})
 	}
 	for _, n := range c.Nodes {
 		c.At(Micros(c.chance.Below(int(beat))), n.Start)
--- a/members/members.go
+++ b/members/members.go
@@ -22,8 +22,8 @@
 	membersMost = 4096
 
 	stallTimes  = 3 // times the probe period between two ticks: this router itself was stopped
-	healthMost  = 8 // points; each has a router wait longer for answers
-	wariness    = 4 // points that double the time until it believes a death
+	healthMost  = 4 // points; each has a router wait longer for answers
+	wariness    = 8 // points that double the time until it believes a death
 	accusedMost = 4 // suspects of our own that are asked again and again
 	relaysMost  = 32
 	recentMost  = 32 // pings whose late answers still prove that we are heard
@@ -36,6 +36,7 @@
 	youngFor    = 3 * instant.Second         // a newcomer tries its peers faster
 	settleLeast = 1500 * instant.Millisecond // of the start: until then peers are being found
 	settleMost  = 6 * instant.Second
+	aloneAfter  = instant.Second // without a word from anybody: one that is heard by none may still hear them
 	forgetAfter = 10 * instant.Minute
 	leaveTimes  = 3 // how often a departure is told at its end
 	pagesMost   = 2 // that one pull is answered with
@@ -108,6 +109,7 @@
 	asked   int
 	seeds   []netip.AddrPort
 	health  int
+	heard   Micros // the last word from another
 	proved  Micros // when that left which is known to have been answered; 0: never
 	pulled  Micros
 	assured Micros
@@ -214,7 +216,7 @@
 
 // Standing tells how this router stands to the others.
 func (m *Members) Standing() Standing {
-	at := Standing{Silence: m.now - max(m.proved, m.began), Alone: m.Present() == 0}
+	at := Standing{Silence: m.now - max(m.proved, m.began), Alone: m.Present() == 0 && m.now-m.heard >= aloneAfter}
 	at.Settled = m.now-m.began >= settleLeast && m.listed || m.now-m.began >= settleMost
 	return at
 }
--- a/members/news.go
+++ b/members/news.go
@@ -19,6 +19,7 @@
 		m.tally.Unreadable++
 		return ErrUnreadable
 	}
+	m.heard = m.now
 	m.learn(&h.sender, h.sender.Mark, true)
 	for len(h.news.B) > 0 {
 		e := readEntry(&h.news)
@@ -222,7 +223,7 @@
 
 // patience is how long a suspect has to refute: the less, the more have accused it by themselves.
 func (m *Members) patience(r *member) Micros {
-	most := min(m.doubt.Accusers, m.Present()-1, accusersMost-1) // that can come to the first
+	most := min(m.doubt.Accusers, m.alive(), accusersMost-1) // that can come to the first
 	if most <= 0 {
 		return m.wary((m.doubt.Least + m.doubt.Most) / 2)
 	}
@@ -230,6 +231,16 @@
 	return m.wary(m.doubt.Most - Micros(share*float64(m.doubt.Most-m.doubt.Least)))
 }
 
+// alive counts the others that nobody doubts.
+func (m *Members) alive() (n int) {
+	for _, r := range m.all {
+		if r.State == Alive {
+			n++
+		}
+	}
+	return n
+}
+
 // wary is how much longer a router that is itself slow waits before it believes a death.
 func (m *Members) wary(t Micros) Micros { return t + t*Micros(m.health)/wariness }
 
--- a/members/wire.go
+++ b/members/wire.go
@@ -181,3 +181,10 @@
 	m.tally.Sent++
 	m.post.Send(to, m.buf[:d.n])
 }
+
+// Lie makes the datagram of a router that holds another to be in some state, true or not: for tests of those that hear it.
+func Lie(by, of Member, state State) []byte {
+	b := appendEntry([]byte{byte(ack)}, &entry{Self: by.Self, inc: 0, state: Alive})
+	b = append(b, 0)
+	return appendEntry(b, &entry{Self: of.Self, inc: 1 << 20, state: state, accuser: by.Mark})
+}
