--- a/decide/api.go
+++ b/decide/api.go
@@ -135,6 +135,8 @@
 	Repeat  bool
 	Left    Micros // until the client gives this try up
 	KB      float64
+	Behind  bool   // background work that renews a copy: no client waits for it, and visits go first
+	Gap     Micros // with that: the gap between visits as who saw them has it, where this router saw none
 }
 
 // Errand is one trip: where to, and what to do there.
@@ -196,6 +198,7 @@
 	Over     bool // the visit has its final answer
 	Elapsed  Micros
 	FirstOut Micros // to the source's first byte, where told
+	Made     Micros // when the origin gave the copy out, where told
 }
 
 // Desk takes the router's results. It is called only from within the router's own calls.
@@ -208,5 +211,7 @@
 	Release(VisitID) // nothing more will be said or asked of this visit
 	Wake(at Micros)
 	Follow() // subscribe to the list of caches
+	// Ageing tells that the copy just delivered is worth renewing before it is past its fresh time.
+	Ageing(v VisitID, until, gap Micros)
 	Note(line string)
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -2,7 +2,7 @@
 // and the tuned values. Its interface is api.go; docs/design.md tells what it follows and where it departs.
 //
 // How it is called: New makes a router. Before each event Clock tells the time, then one of List, ListLost,
-// Arrive, TripEnded, Started, Left, Purged, Woke tells what happened. Results go to the Desk within
+// Arrive, TripEnded, Started, Left, Purged, Probed, Woke tells what happened. Results go to the Desk within
 // that call. state.go has the records, and move, the one function that changes a visit's state.
 //
 // The design (learned accepted age) decides each ordinary visit: see judge and plan. Beside it stand:
@@ -12,6 +12,7 @@
 //  3. waiting: a visit that finds no room, at a cache or for a fill, waits while it can still be in time
 //  4. rest: a cache or source that shows itself dead is left alone for a while, then tried by one trip
 //  5. cold budgets: a just-started cache or parent gets this router's share of what it can bear
+//  6. background work: copies are renewed ahead where limits are half free, and probes tell who is there
 package decide
 
 import (
@@ -75,6 +76,13 @@
 	tickEvery    = 250 * ms
 	troubleKeeps = 1.0 // seconds
 
+	aheadVisits = 0.5        // that a renewed copy must expect within its timer
+	aheadOldest = 0.5        // of its fresh time: a copy older than that is fetched anew
+	behindPart  = 0.5        // of each limit, that background work may find in use
+	cutCalm     = 500 * ms   // since a limit was cut
+	probeOld    = 2 * second // what a probe showed longer ago says nothing
+	probeWork   = 0.0005     // seconds of a cache's work
+
 	troubleOn, troubleOff = 0.15, 0.05 // share of trips refused or too slow at which overload begins and ends
 )
 
@@ -146,6 +154,13 @@
 	return 1, oldest
 }
 
+// ahead tells whether a copy is worth a fill before anyone asks: the branch is expected to ask for it within
+// its timer and its fresh time.
+func (l *ledger) ahead(o *object, fresh Micros, crew int) bool {
+	gap := o.gap / float64(crew) // each router sees its part of the visits
+	return gap > 0 && math.Min(timer(gap, o.updateRate(fresh), l.alpha), seconds(fresh)) >= aheadVisits*gap
+}
+
 // updateRate counts one update a fresh time for an object that gets no purge notices.
 func (o *object) updateRate(fresh Micros) float64 {
 	if !o.purged && fresh > 0 {
@@ -220,7 +235,7 @@
 		}
 	}
 	v.aim = min(r.now+use.Expected+Micros(use.Stretch*float64(v.work)), v.ends)
-	if !v.Write {
+	if !v.Write && !v.Behind {
 		o := r.ledger.visited(v.key, r.now)
 		if at, ok := r.purgedAt(v); ok && at > o.fetched && o.updates == 0 {
 			o.updates, o.purged = 1, true
@@ -255,7 +270,8 @@
 // further decides after a trip that did not deliver.
 func (r *Router) further(v *visit, t *trip, end Ending) {
 	idle := end == Lacking || end == NoRoute || end == NeverSent // costs little and says nothing of a crowd
-	if v.n >= min(tripsMost, r.leave.Trips) || r.now >= v.ends || r.heavy && !idle || !r.mayRepeat(v) {
+	if v.Behind || v.n >= min(tripsMost, r.leave.Trips) || r.now >= v.ends || r.heavy && !idle ||
+		!r.mayRepeat(v) {
 		r.giveUp(v)
 		return
 	}
@@ -333,7 +349,8 @@
 		return
 	}
 	use := &r.cases[v.UseCase]
-	if r.now >= v.ends || v.ran && (use.Effect == OneShot || use.Effect == Stamped && use.Reach != Everywhere) {
+	if r.now >= v.ends || v.Behind && v.n > 0 ||
+		v.ran && (use.Effect == OneShot || use.Effect == Stamped && use.Reach != Everywhere) {
 		r.desk.Scrap(v.id)
 	} else {
 		r.desk.Defer(v.id, Micros(float64(r.leave.LongestComeback)*(0.5+0.5*r.chance())))
@@ -344,6 +361,10 @@
 // proceed sends the next trip, or gives up where there is none to send.
 func (r *Router) proceed(v *visit) {
 	e, mayFill, ok := r.plan(v)
+	if v.Behind && (!ok || !r.spared(v, e)) {
+		r.giveUp(v)
+		return
+	}
 	if up := func(id CacheID) bool { return r.usable(&r.caches[id]) }; !ok && slices.ContainsFunc(r.edges, up) &&
 		r.now < v.waitsUntil() { // some cache of the branch is up, if crowded or cold
 		r.wait(v)
@@ -379,6 +400,12 @@
 		}
 		e.Renew = use.Fresh > 0 && e.Rank > 0
 	}
+	if v.Behind {
+		if o == nil || o.gap == 0 {
+			e.Rank, _ = r.ledger.judge(&object{gap: seconds(v.Gap)}, use.Fresh, use.Grace)
+		}
+		e.Oldest, e.Renew = Micros(aheadOldest*float64(use.Fresh)), false
+	}
 	var crowded bool
 	if e.Cache, crowded = r.pickEdge(v); e.Cache == NoCache {
 		if crowded { // the branch's link is as full as its caches: a way round them only moves the jam
@@ -403,6 +430,49 @@
 	return e, e.Source != e.Cache && !r.holds(v, o, &r.caches[e.Cache]), true
 }
 
+// spared tells whether background work may go. Wards off that it costs a visit anything: it takes no room one
+// waits for, nor what a just-started cache can bear, and none while visits are pressed.
+func (r *Router) spared(v *visit, e Errand) bool {
+	c, src := &r.caches[e.Cache], &r.caches[e.Source]
+	for _, l := range [...]*limit{&c.trips, &src.fills, &r.link, &r.fetch} {
+		if float64(l.inUse+1) > behindPart*l.most {
+			return false
+		}
+	}
+	return !v.Write && r.cases[v.UseCase].Effect == Harmless && c.Tier == Edge && e.Source != e.Cache &&
+		!r.isCold(c) && !r.isCold(src) && !r.Pressed()
+}
+
+// Pressed tells whether visits wait, are late or have met a limit cut of late, or the router sees overload.
+func (r *Router) Pressed() bool {
+	return r.heavy || len(r.waiting) > 0 || r.slow.Mean >= goneLate || r.cut > 0 && r.now-r.cut < cutCalm
+}
+
+// MayProbe tells whether a cache may be probed; what that costs counts in its cold budget.
+func (r *Router) MayProbe(id CacheID) bool {
+	if int(id) >= len(r.caches) || !r.caches[id].listed || r.caches[id].Standing != Up {
+		return false
+	}
+	r.caches[id].bucket.Take(probeWork)
+	return true
+}
+
+// Probed takes what a probe showed, this router's or another's. A cache that is there rests no longer and is
+// tried by one trip; one that is not, and answered no trip since, rests.
+func (r *Router) Probed(id CacheID, there bool, ago Micros) {
+	if int(id) >= len(r.caches) || !r.caches[id].listed || ago > probeOld {
+		return
+	}
+	switch c := &r.caches[id]; {
+	case r.now-ago <= max(c.lastGood, c.struck):
+	case there && c.restUntil > r.now:
+		c.restUntil = r.now
+		r.desk.Note(fmt.Sprintf("cache %d is there by a probe, its rest ends", id))
+	case !there:
+		r.strike(c, false)
+	}
+}
+
 // sincePurge wards off copies older than a purge, from its notice on; the age counts from the purge itself.
 func (r *Router) sincePurge(v *visit, oldest Micros) Micros {
 	at, purged := r.purgedAt(v)
@@ -620,7 +690,7 @@
 			l.most *= 1 - idleCut
 		}
 	} else if r.now-l.cutAt >= cutPause {
-		l.most, l.cutAt = math.Max(1/float64(l.of), l.most*limitCut), r.now
+		l.most, l.cutAt, r.cut = math.Max(1/float64(l.of), l.most*limitCut), r.now, r.now
 	}
 	l.after = r.now + Micros(float64(r.now-t.sent)*math.Max(0, 1/l.most-1))
 }
@@ -632,6 +702,7 @@
 		return
 	}
 	rest := min(restFirst<<c.strikes, restMost)
+	c.struck = r.now
 	c.strikes = min(c.strikes+1, 8)
 	c.restUntil = r.now + rest
 	if c.died = c.died || died || c.strikes >= deadStrikes; c.died {
@@ -674,9 +745,17 @@
 	}
 	c, filled := &r.caches[t.cache], rep.Trace.IsFill()
 	if c.Tier == Edge && rep.Ending == Delivered && (filled || rep.Trace == Hit || rep.Trace == PastFresh) {
-		if r.holds(v, o, c) {
+		fresh := r.cases[v.UseCase].Fresh
+		if r.holds(v, o, c) && !v.Behind {
 			r.ledger.met(filled)
 		}
+		if r.ahead && rep.Made > o.keptAt && o.kept == c.ID { // another router has renewed it
+			o.keptAt = rep.Made
+		}
+		known := r.ahead && fresh > 0 && rep.Made > 0 && !v.Behind && t.rank > 0
+		if known && r.ledger.ahead(o, fresh, r.branch.Crew) {
+			r.desk.Ageing(v.id, rep.Made+fresh, micros(o.gap))
+		}
 		if t.rank > 0 {
 			r.ledger.keep(o, c, filled, r.cases[v.UseCase].Fresh, r.now)
 		} else if filled && o.kept == c.ID {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"threadrun/internal/bucket"
+	"threadrun/internal/mix"
 )
 
 // The random runs are the same every time.
@@ -30,7 +31,7 @@
 		var visits []VisitID
 		for range rapid.IntRange(20, 120).Draw(rt, "steps") {
 			d.pass(Micros(rapid.IntRange(1, 400_000).Draw(rt, "pause")))
-			switch step := rapid.IntRange(0, 9).Draw(rt, "step"); {
+			switch step := rapid.IntRange(0, 11).Draw(rt, "step"); {
 			case step <= 3:
 				a := video(rapid.IntRange(0, 6).Draw(rt, "object"))
 				a.UseCase = UseCaseID(rapid.IntRange(0, 3).Draw(rt, "use"))
@@ -45,6 +46,22 @@
 				x.Standing = Standing(rapid.IntRange(0, 2).Draw(rt, "standing"))
 				x.Started = Micros(rapid.SampledFrom([]int{0, int(d.r.now)}).Draw(rt, "started"))
 				d.list(x)
+			case step == 10:
+				a := video(rapid.IntRange(0, 6).Draw(rt, "renewed"))
+				a.UseCase, a.Behind = UseCaseID(rapid.IntRange(0, 3).Draw(rt, "use")), true
+				a.Left, a.Gap = Micros(rapid.IntRange(0, 3_000_000).Draw(rt, "left")), second
+				before := len(d.out)
+				v := d.arrive(a)
+				visits = append(visits, v)
+				if len(d.out) == before && d.answers[v] == 0 {
+					rt.Fatal("background work waits")
+				}
+			case step == 11:
+				id := CacheID(rapid.IntRange(0, 7).Draw(rt, "probed"))
+				if d.r.MayProbe(id) && d.told[id].Standing != Up {
+					rt.Fatal("a draining cache may be probed")
+				}
+				d.r.Probed(id, rapid.Bool().Draw(rt, "there"), Micros(rapid.IntRange(0, 3_000_000).Draw(rt, "ago")))
 			case step == 8:
 				d.r.Purged(ObjectID(0x9e3779b97f4a7c15), 0, rapid.Bool().Draw(rt, "whole"), 50*ms)
 			case len(visits) > 0:
@@ -70,6 +87,106 @@
 	})
 }
 
+// Background work goes where a visit would, for a copy that must be fetched anew, and is no visit to the design.
+func TestBehind(t *testing.T) {
+	page := Asked{UseCase: 1, Object: 77, Left: 3 * second, KB: 50, Tenant: -1}
+	behind := page
+	behind.Behind, behind.Gap = true, 300*ms
+	d := bench(plainLeave)
+	d.arrive(page)
+	home := d.out[0].Cache
+	d.end(0, Report{Ending: Delivered, Trace: Filled})
+	gap := d.r.ledger.objects.Peek(mix.Pair(uint64(page.Object), 0)).gap
+	d.pass(second)
+	d.arrive(behind)
+	if e := d.out[0].Errand; e.Cache != home || e.Source == e.Cache || e.Renew || e.Oldest > d.cases[1].Fresh/2 {
+		t.Errorf("%+v, home %d", e, home)
+	}
+	d.end(0, Report{Ending: Delivered, Trace: Filled})
+	if o := d.r.ledger.objects.Peek(mix.Pair(uint64(page.Object), 0)); o.gap != gap || d.r.ledger.share != 0 {
+		t.Errorf("it counts as a visit: gap %v after %v, share missing %v", o.gap, gap, d.r.ledger.share)
+	}
+	// It makes way: for want of room, of ease, of a warm cache, and it is never tried again.
+	for name, spoil := range map[string]func(){
+		"half of the home cache's limit in use": func() { d.r.caches[home].trips.inUse = int(d.r.caches[home].trips.most / 2) },
+		"half of the link's":                    func() { d.r.link.inUse = int(d.r.link.most / 2) },
+		"overload":                              func() { d.r.heavy = true },
+		"late visits":                           func() { d.r.slow.Mean = goneLate },
+		"a limit cut":                           func() { d.r.cut = d.r.now },
+		"a visit that waits":                    func() { d.r.waiting = append(d.r.waiting, 1<<40) },
+		"cold caches": func() {
+			for i := range 4 {
+				x := fleet()[i]
+				x.Started = d.r.now
+				d.list(x)
+			}
+		},
+		"a one-shot use case": func() { behind.UseCase = 2 },
+	} {
+		d, behind.UseCase = bench(plainLeave), 1
+		spoil()
+		v := d.arrive(behind)
+		if len(d.out) > 0 || d.answers[v] != 1 {
+			t.Errorf("with %s it goes, or waits", name)
+		}
+	}
+	d, behind.UseCase = bench(plainLeave), 1
+	v := d.arrive(behind)
+	d.end(0, Report{Ending: Lacking})
+	if len(d.out) > 0 || d.answers[v] != 1 || d.deferred > 0 {
+		t.Error("it is tried again, or told as if it had never run")
+	}
+	d.check(t)
+}
+
+// A copy that the branch is to be expected to ask for is told as worth renewing; one asked for seldom is not.
+func TestAgeingIsTold(t *testing.T) {
+	for gap, want := range map[Micros]bool{300 * ms: true, 20 * second: false} {
+		d := bench(plainLeave)
+		d.r.RenewAhead(true)
+		page := Asked{UseCase: 1, Object: 77, Left: 3 * second, KB: 50, Tenant: -1}
+		for range 4 {
+			d.arrive(page)
+			made := d.r.now - 2*second
+			d.end(0, Report{Ending: Delivered, Trace: Hit, Made: made})
+			if n := len(d.ageing); n > 0 && d.ageing[n-1].until != made+d.cases[1].Fresh {
+				t.Errorf("%+v", d.ageing[n-1])
+			}
+			d.pass(gap)
+		}
+		if got := len(d.ageing) > 0; got != want {
+			t.Errorf("gap %v ms: told %v", gap.Millis(), got)
+		}
+	}
+}
+
+// A probe ends a rest, or begins one; what is older than what is known says nothing.
+func TestProbes(t *testing.T) {
+	d := bench(plainLeave)
+	c := &d.r.caches[1]
+	d.r.strike(c, false)
+	d.r.Probed(1, true, 10*ms) // from before the rest
+	if c.restUntil <= d.r.now {
+		t.Error("an older probe ends the rest")
+	}
+	d.pass(50 * ms)
+	if d.r.Probed(1, true, 10*ms); c.restUntil > d.r.now || c.strikes == 0 {
+		t.Error("the rest goes on, or all is forgotten")
+	}
+	d.pass(5 * second)
+	c = &d.r.caches[2]
+	c.lastGood = d.r.now - 20*ms
+	if d.r.Probed(2, false, 30*ms); c.restUntil > d.r.now {
+		t.Error("a probe from before a good answer counts")
+	}
+	if d.r.Probed(2, false, 3*second); c.restUntil > d.r.now {
+		t.Error("an old probe counts")
+	}
+	if d.r.Probed(2, false, 10*ms); c.restUntil <= d.r.now {
+		t.Error("a cache that is not there does not rest")
+	}
+}
+
 // A cache that comes back from the dead is cold before the list tells of its start, and stays so when it is listed again.
 func TestBackFromTheDeadIsCold(t *testing.T) {
 	d := bench(plainLeave)
@@ -499,6 +616,8 @@
 func (*still) Follow()                  {}
 func (*still) Note(string)              {}
 
+func (*still) Ageing(VisitID, Micros, Micros) {}
+
 // The ordinary path, a visit and its one trip, allocates nothing.
 func TestOrdinaryPathAllocatesNothing(t *testing.T) {
 	d, s := bench(plainLeave), &still{}
--- a/decide/helpers_test.go
+++ b/decide/helpers_test.go
@@ -28,6 +28,13 @@
 	faults   []string
 	wakes    []Micros
 	due      map[VisitID]Micros
+	ageing   []told
+}
+
+// told is a copy worth renewing.
+type told struct {
+	object     ObjectID
+	until, gap Micros
 }
 
 func (d *desk) fault(f string, a ...any) { d.faults = append(d.faults, fmt.Sprintf(f, a...)) }
@@ -84,6 +91,9 @@
 func (d *desk) Wake(at Micros)           { d.wakes = append(d.wakes, at) }
 func (d *desk) Follow()                  {}
 func (d *desk) Note(string)              {}
+func (d *desk) Ageing(v VisitID, until, gap Micros) {
+	d.ageing = append(d.ageing, told{d.asked[v].Object, until, gap})
+}
 func (d *desk) check(t interface{ Fatal(...any) }) {
 	if len(d.faults) > 0 {
 		t.Fatal(d.faults)
--- a/decide/state.go
+++ b/decide/state.go
@@ -77,6 +77,7 @@
 	fills     limit  // naming it as source, that may fill
 	strikes   int
 	restUntil Micros
+	struck    Micros // when it began to rest
 	lastGood  Micros
 	quick     drift.Drift // smoothed time that a fill from it takes beyond its bytes
 	bucket    bucket.Bucket
@@ -142,6 +143,8 @@
 	trouble  drift.Drift     // share of trips that met a crowd
 	heavy    bool            // the router sees overload
 	nextTick Micros
+	cut      Micros            // when a limit was cut last
+	ahead    bool              // ageing copies are told, to be renewed ahead
 	lost     bool              // the list must be asked for again
 	marks    map[uint64]Micros // purge marks: object or group, to the time of the purge
 	seed     uint32
@@ -154,6 +157,9 @@
 // ListLost tells that the subscription dropped or a call failed; the list in hand stays.
 func (r *Router) ListLost() { r.lost = true }
 
+// RenewAhead tells whether copies worth renewing ahead are to be told to the desk.
+func (r *Router) RenewAhead(on bool) { r.ahead = on }
+
 // Started tells that a streamed answer has begun: no clock of ours runs for it any longer.
 func (r *Router) Started(id VisitID, _ TripNo) {
 	if v := r.visits.Get(id); v != nil {
--- a/internal/benchwire/post.go
+++ b/internal/benchwire/post.go
@@ -175,3 +175,6 @@
 	p.word("message", line)
 	p.end()
 }
+
+// Ageing has nothing to do: no copies are renewed ahead on the wire.
+func (p *post) Ageing(decide.VisitID, decide.Micros, decide.Micros) {}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -349,6 +349,9 @@
 // Follow has nothing to do: the bulletin is always followed.
 func (s *Service) Follow() {}
 
+// Ageing has nothing to do yet.
+func (s *Service) Ageing(decide.VisitID, decide.Micros, decide.Micros) {}
+
 // Note logs a change of mode.
 func (s *Service) Note(line string) { s.log.Info("decide: " + line) }
 
