--- a/chores/chores.go
+++ b/chores/chores.go
@@ -571,6 +571,15 @@
 	return n
 }
 
+// Spend changes what a class may spend.
+func (s *Scheduler) Spend(c ClassID, a Allowance) { s.classes[c].Spend = a }
+
+// Ways changes what may be spent at each place.
+func (s *Scheduler) Ways(w Ways) { s.ways = [4]Allowance{w.Cache, w.Parent, w.Link, w.Origin} }
+
+// Has tells whether a piece of work is in hand.
+func (s *Scheduler) Has(w duties.Work) bool { return s.byWork[w] != nil }
+
 // Flow tells how a class stands.
 func (s *Scheduler) Flow(c ClassID) Flow { return s.classes[c].flow }
 
--- a/cmd/threadrun/main.go
+++ b/cmd/threadrun/main.go
@@ -10,13 +10,20 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/alecthomas/kong"
 	"github.com/sirupsen/logrus"
 
 	"threadrun/internal/deployment"
+	"threadrun/internal/operator"
 	"threadrun/internal/service"
 )
 
+var cli struct {
+	Operator string `env:"THREADRUN_OPERATOR" type:"path" help:"The operator's file: JSON with comments."`
+}
+
 func main() {
+	kong.Parse(&cli, kong.Name("threadrun"), kong.Description("The visit router. RELAY_CONFIG names the deployment's file."))
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "threadrun:", err)
 		os.Exit(1)
@@ -29,7 +36,7 @@
 	// A channel of its own: words to reload that come in a row are as good as one, and may not crowd out the word to end.
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
-	file, err := deployment.Open(os.Getenv("RELAY_CONFIG"), os.Getenv)
+	file, spec, err := read()
 	if err != nil {
 		return err
 	}
@@ -41,7 +48,7 @@
 	debug.SetMemoryLimit(int64(memoryMB) << 20 * 3 / 5) // the rest is for the kernel's part and for late collection
 	log := logrus.New()
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, TimestampFormat: "15:04:05.000", FullTimestamp: true})
-	router, err := service.Start(file, log)
+	router, err := service.Start(file, spec, log)
 	if err != nil {
 		return err
 	}
@@ -58,11 +65,21 @@
 	return nil
 }
 
-// reload takes up what the file says now, whole or not at all.
+// reload takes up what the files say now, whole or not at all.
 func reload(router *service.Running) error {
-	file, err := deployment.Open(os.Getenv("RELAY_CONFIG"), os.Getenv)
+	file, spec, err := read()
 	if err != nil {
 		return err
 	}
-	return router.Reload(file)
+	return router.Reload(file, spec)
+}
+
+// read reads the deployment's file and the operator's.
+func read() (*deployment.File, *operator.File, error) {
+	file, err := deployment.Open(os.Getenv("RELAY_CONFIG"), os.Getenv)
+	if err != nil {
+		return nil, nil, err
+	}
+	spec, err := operator.Open(cli.Operator)
+	return file, spec, err
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -213,28 +213,34 @@
 	}
 }
 
+// prepare fills in a visit's own figures.
+func (r *Router) prepare(v *visit) {
+	use := &r.cases[v.UseCase]
+	v.Write, v.key, v.ranAt = v.Write || use.Write, mix.Pair(uint64(v.Object), uint64(v.Part)), NoCache
+	if v.work = micros(r.work[v.UseCase]); r.branch.PaceKB > 0 && v.KB > 0 {
+		v.work = micros(v.KB / r.branch.PaceKB)
+	}
+	v.came, v.ends = r.now, r.now+v.Left-answerMargin
+	v.aim = min(r.now+use.Expected+Micros(use.Stretch*float64(v.work)), v.ends)
+}
+
 // Arrive takes a visit; from here on one final answer is owed.
 func (r *Router) Arrive(a Asked) {
 	id, v := r.visits.Take()
-	*v = visit{Asked: a, id: id, ranAt: NoCache}
+	*v = visit{Asked: a, id: id}
 	v.move(Arrived)
 	r.desk.Taken(id)
 	use := &r.cases[a.UseCase]
-	v.Write, v.key = a.Write || use.Write, mix.Pair(uint64(a.Object), uint64(a.Part))
 	if r.branch.PaceKB > 0 && a.KB > 0 { // clients may say any size
 		smooth(&r.work[a.UseCase], math.Min(a.KB/r.branch.PaceKB, workMost*seconds(use.Expected)), theta)
-		v.work = micros(a.KB / r.branch.PaceKB)
-	} else {
-		v.work = micros(r.work[a.UseCase])
 	}
-	v.came, v.ends = r.now, r.now+a.Left-answerMargin
+	r.prepare(v)
 	if t := int(a.Tenant); t >= 0 && t < len(r.tenants) { // each router counts against its even part of a share
 		rate := r.tenants[t].PerSecond / float64(r.branch.Fleet)
 		if v.over = r.quotas[t].Fill(seconds(r.now), rate, max(rate, 1)) < 1; !v.over {
 			r.quotas[t].Take(1)
 		}
 	}
-	v.aim = min(r.now+use.Expected+Micros(use.Stretch*float64(v.work)), v.ends)
 	if !v.Write && !v.Behind {
 		o := r.ledger.visited(v.key, r.now)
 		if at, ok := r.purgedAt(v); ok && at > o.fetched && o.updates == 0 {
@@ -244,6 +250,14 @@
 	r.proceed(v)
 }
 
+// Way tells where background work would go now, and whether it may. Nothing is sent.
+func (r *Router) Way(a Asked) (Errand, bool) {
+	v := visit{Asked: a}
+	r.prepare(&v)
+	e, _, ok := r.plan(&v)
+	return e, ok && r.spared(&v, e)
+}
+
 // TripEnded takes the end of one trip.
 func (r *Router) TripEnded(id VisitID, rep Report) {
 	v := r.visits.Get(id)
--- a/internal/deployment/file.go
+++ b/internal/deployment/file.go
@@ -92,6 +92,30 @@
 	return cores, memoryMB, descriptors, f.wrap(k.err)
 }
 
+// Tier gives what the file says of the other routers: where datagrams from them arrive, and the addresses of all, this
+// router's own among them; whether the site lets routers talk to each other, and probe caches. All of it may be absent.
+func (f *File) Tier() (listen netip.AddrPort, peers []netip.AddrPort, talk, probe bool, err error) {
+	k := &keys{}
+	numeric := func(key string, v *fastjson.Value) (a netip.AddrPort) {
+		s, err := v.StringBytes()
+		if err == nil {
+			a, err = netip.ParseAddrPort(string(s))
+		}
+		if err != nil {
+			k.fault(key, "is no numeric address")
+		}
+		return a
+	}
+	if v := f.v.Get("peer_listen"); v != nil && v.Type() != fastjson.TypeNull {
+		listen = numeric("peer_listen", v)
+	}
+	for i, v := range k.array(f.v, "peers", false) {
+		peers = append(peers, numeric(fmt.Sprintf("peers[%d]", i), v))
+	}
+	talk, probe = k.truth(f.Site, "limits.peers"), k.truth(f.Site, "limits.may_probe")
+	return listen, peers, talk, probe, f.wrap(k.err)
+}
+
 const roomShare = 10 // unfinished requests, bodies and unread answers take a tenth of the memory each at most
 
 // Pools gives the bounds on connections: how many clients and caches may have, together and each cache; how many
--- a/internal/deployment/site.go
+++ b/internal/deployment/site.go
@@ -19,6 +19,8 @@
 	byCase         map[string]decide.UseCaseID
 	byTenant       map[string]decide.TenantID
 	Parent, Origin string // kinds of machine
+	Own            decide.ZoneID
+	Cases          []decide.UseCase
 }
 
 // UseCase finds a use case by its name.
@@ -72,6 +74,7 @@
 	if k.err != nil {
 		return nil, nil, k.err
 	}
+	n.Own, n.Cases = branch.Zone, cases
 	return decide.New(seed, desk, cases, tenants, branch, leave, edge, parent, purges), n, nil
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,6 +18,8 @@
 	KB       float64
 	Have     []byte // tag of a copy that the client holds
 	Body     []byte
+	Behind   bool          // background work, not a client's: see decide.Asked
+	Gap      decide.Micros // with that
 }
 
 // Client takes the one answer to each of its visits, under the number it gave the visit.
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,77 @@
+package operator
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+)
+
+// The file that is delivered can be used, switches nothing on, and says of each key what holds without it.
+func TestDeliveredFile(t *testing.T) {
+	f, err := Open("../../deploy/operator.jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	none, err := Open("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.Members.On || f.Renewing.On || f.Probing.On {
+		t.Error("it switches something on")
+	}
+	if f.Renewing != none.Renewing || f.Probing != none.Probing || f.Ways != none.Ways || f.Members.Weight != none.Members.Weight {
+		t.Errorf("%+v\n%+v", f, none)
+	}
+	if len(f.Held(none)) > 0 {
+		t.Error(f.Held(none))
+	}
+}
+
+// Each fault names its key and its line, and a file with one is not used at all.
+func TestFaults(t *testing.T) {
+	for text, want := range map[string]string{
+		"{\n \"members\": {\"on\": true}}":                      "line 2: key 'members.on' needs a key file",
+		"{\n\n \"member\": {}}":                                 "line 3: key 'member' is not known",
+		"{\"renewing\": {\n \"share\": 3}}":                     "line 2: key 'renewing.share' is not known",
+		"{\"renewing\": {\n \"shares\": 0}}":                    "line 2: key 'renewing.shares' is 0, not within 1 to 8192",
+		"{\"renewing\": {\n \"shares\": 1.5}}":                  "line 2: key 'renewing.shares' is 1.5, no whole number",
+		"{\"renewing\": {\"spend\": {\n\n\"out\": \"2\"}}}":     "line 3: key 'renewing.spend.out' is no number",
+		"{\"probing\": {\"on\": 1}}":                            "line 1: key 'probing.on' is neither true nor false",
+		"{\"probing\": {\"every_ms\": 1e9}}":                    "key 'probing.every_ms' is 1e+09, not within 50 to 60000",
+		"{\"members\": {\"listen\": \"here:1\"}}":               "key 'members.listen' is \"here:1\", no numeric address",
+		"{\"members\": {\"peers\": [\"127.0.0.1:1\",\n\"x\"]}}": "line 2: key 'members.peers' is \"x\"",
+		"{\"members\": {\"peers\": [3]}}":                       "key 'members.peers' is no string",
+		"{\"members\": {\"peers\": 3}}":                         "key 'members.peers' is no array",
+		"{\"members\": 3}":                                      "key 'members' is no object",
+		"{\"members\": {},\n\"members\": {}}":                   "line 2: key 'members' stands there twice",
+		"{\n\"members\": {]}":                                   "line 2: is no JSON with comments",
+		"[]":                                                    "is no object",
+		"{\"members\":{\"peers\":[\"127.0.0.1:1\"],\n\"seeds\":[\"127.0.0.1:1\"]}}": "line 2: key 'members.seeds' stands beside",
+		"{\"members\":{\"seeds\":[\"127.0.0.1:1\"]},\n\"probing\":{\"on\":true}}":   "line 2: key 'probing.on' shares work with peers",
+	} {
+		f, err := Read("f", []byte(text))
+		var faults *Faults
+		if f != nil || !errors.As(err, &faults) || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s\n%v\n%s", text, err, want)
+		}
+		if strings.Contains(err.Error(), "\n") {
+			t.Errorf("more than a line: %v", err)
+		}
+	}
+	_, err := Read("f", []byte(`{"a":1,"b":2,"renewing":{"on":7}}`))
+	var faults *Faults
+	if !errors.As(err, &faults) || len(faults.List) != 3 {
+		t.Errorf("%v", err)
+	}
+}
+
+func TestComments(t *testing.T) {
+	f, err := Read("f", []byte("{ // a\n \"probing\": {/* b */ \"every_ms\": 75.5, \"on\": true,},}"))
+	if err != nil || f.Probing.Every != 75500*time.Microsecond || !f.Probing.On {
+		t.Fatalf("%+v, %v", f, err)
+	}
+	if err := f.Fault("probing.on", "is %s", "off"); !strings.Contains(err.Error(), "line 2: key 'probing.on' is off") {
+		t.Error(err)
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -3,10 +3,12 @@
 package service
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"threadrun/ageing"
 	"threadrun/decide"
 	"threadrun/internal/bulletin"
 	"threadrun/internal/deployment"
@@ -14,6 +16,7 @@
 	"threadrun/internal/mix"
 	"threadrun/internal/sockets"
 	"threadrun/internal/trips"
+	"threadrun/internal/upkeep"
 )
 
 // Service is one router. All its methods but Run and Leave are called under the engine's lock.
@@ -40,6 +43,7 @@
 	listed  []cache // by CacheID
 	list    []decide.Listed
 	front   func(now time.Time) // upkeep of the front
+	upkeep  *upkeep.Upkeep      // background work; nil: none
 	leaving bool
 	head    []byte
 	fields  []byte
@@ -51,6 +55,9 @@
 	boot    int64         // Unix ms, as listed
 	started decide.Micros // the same on our clock
 	removed bool
+	mark    uint64
+	tier    decide.Tier
+	ours    bool // of this branch, or a parent
 }
 
 // charge is what is held of one visit.
@@ -129,6 +136,9 @@
 				s.yard.Beat(now)
 				s.poll.Beat(now)
 				s.front(now)
+				if s.upkeep != nil {
+					s.upkeep.Beat(now)
+				}
 			}
 		})
 		s.engine.Do(func() {
@@ -224,6 +234,11 @@
 // UseCase finds a use case by its name.
 func (s *Service) UseCase(name []byte) (decide.UseCaseID, bool) { return s.names.UseCase(name) }
 
+func asked(ask *front.Ask) decide.Asked {
+	return decide.Asked{UseCase: ask.Case, Object: decide.ObjectID(mix.Name(string(ask.Object[:]))), Part: ask.Part,
+		Group: ask.Group, Tenant: -1, Left: ask.Patience, KB: ask.KB, Behind: ask.Behind, Gap: ask.Gap}
+}
+
 // Arrive takes a visit from a front. One that bears the mark of a visit in hand is not taken: caches know visits by
 // their marks, and would take the one for the other.
 func (s *Service) Arrive(from front.Client, no uint64, ask *front.Ask) bool {
@@ -238,8 +253,7 @@
 	}
 	s.arrived = p
 	s.enter()
-	s.router.Arrive(decide.Asked{UseCase: ask.Case, Object: decide.ObjectID(mix.Name(string(ask.Object[:]))),
-		Part: ask.Part, Group: ask.Group, Tenant: -1, Left: ask.Patience, KB: ask.KB})
+	s.router.Arrive(asked(ask))
 	s.arrived = nil
 	return true
 }
@@ -288,7 +302,7 @@
 	if o == nil {
 		return
 	}
-	s.close(c, o, silence(s.yard.Drop(t, o.cache)), decide.NoTrace, false)
+	s.close(c, o, silence(s.yard.Drop(t, o.cache)), decide.NoTrace, false, 0)
 }
 
 // Withdraw gives one trip up.
@@ -296,15 +310,15 @@
 	t := trips.Ticket{Visit: v, Trip: n}
 	if c, o := s.underWay(t); o != nil {
 		s.yard.Drop(t, o.cache)
-		s.close(c, o, decide.Withdrawn, decide.NoTrace, false)
+		s.close(c, o, decide.Withdrawn, decide.NoTrace, false, 0)
 	}
 }
 
 // close notes the end of a trip for the module.
-func (s *Service) close(c *charge, o *out, end decide.Ending, trace decide.Trace, over bool) {
+func (s *Service) close(c *charge, o *out, end decide.Ending, trace decide.Trace, over bool, made decide.Micros) {
 	o.over = true
 	s.ends = append(s.ends, ended{c.visit, decide.Report{Trip: o.trip, Ending: end, Trace: trace, Over: over,
-		Elapsed: max(s.clock()-o.sent, 0)}})
+		Elapsed: max(s.clock()-o.sent, 0), Made: made}})
 }
 
 // Ended hears from the yard how a trip ended.
@@ -317,7 +331,13 @@
 	if good {
 		c.client.Deliver(c.no, e.Field("etag"), e.Body, e.Word == trips.Unchanged)
 	}
-	s.close(c, o, end, trace(e.Field("detail")), good)
+	made := decide.Micros(0)
+	if good && s.upkeep != nil {
+		if ms, err := strconv.ParseInt(string(e.Field("made")), 10, 64); err == nil {
+			made = s.own(ms)
+		}
+	}
+	s.close(c, o, end, trace(e.Field("detail")), good, made)
 }
 
 // Defer answers that trying again is harmless, and when to where the site lets clients be told.
@@ -349,8 +369,18 @@
 // Follow has nothing to do: the bulletin is always followed.
 func (s *Service) Follow() {}
 
-// Ageing has nothing to do yet.
-func (s *Service) Ageing(decide.VisitID, decide.Micros, decide.Micros) {}
+// Ageing passes a copy on that is worth renewing.
+func (s *Service) Ageing(v decide.VisitID, until, gap decide.Micros) {
+	c := s.charge(v)
+	if c == nil || s.upkeep == nil {
+		return
+	}
+	object, err := strconv.ParseUint(string(c.ask.Object[:]), 16, 64)
+	if err == nil {
+		s.upkeep.Saw(ageing.Copy{UseCase: int(c.ask.Case), Object: object, Part: c.ask.Part, Group: int(c.ask.Group),
+			KB: c.ask.KB, Until: until, Gap: gap})
+	}
+}
 
 // Note logs a change of mode.
 func (s *Service) Note(line string) { s.log.Info("decide: " + line) }
@@ -387,10 +417,12 @@
 			}
 		}
 		c.boot, c.removed = x.Started, x.State == bulletin.Removed
+		c.mark, c.tier = mix.Name(x.Name), s.names.Tier(x.Kind)
+		c.ours = c.tier != decide.Edge || s.names.Zone(x.Zone) == s.names.Own
 		if x.State != bulletin.Removed {
 			s.yard.Place(id, x.Address, anew)
 		}
-		s.list = append(s.list, decide.Listed{ID: id, Mark: mix.Name(x.Name), Tier: s.names.Tier(x.Kind),
+		s.list = append(s.list, decide.Listed{ID: id, Mark: c.mark, Tier: c.tier,
 			Zone: s.names.Zone(x.Zone), Cell: decide.CellID(x.Cell), Weight: x.Weight,
 			Started: c.started, Standing: standings[x.State], Anew: another})
 	}
@@ -442,6 +474,42 @@
 	s.router.Purged(decide.ObjectID(mix.Name(object)), decide.GroupID(group), whole, ago)
 }
 
+// Now is the router's clock, for background work.
+func (s *Service) Now() decide.Micros { return s.clock() }
+
+// Router is the module, for background work; its clock is set.
+func (s *Service) Router() *decide.Router {
+	s.enter()
+	return s.router
+}
+
+// Way tells where background work would go now.
+func (s *Service) Way(ask *front.Ask) (decide.Errand, bool) { return s.Router().Way(asked(ask)) }
+
+// Caches lists the caches of this branch, and parents and the origin.
+func (s *Service) Caches(f func(id decide.CacheID, mark uint64, tier decide.Tier)) {
+	for i := range s.listed {
+		if c := &s.listed[i]; !c.removed && c.ours {
+			f(decide.CacheID(i), c.mark, c.tier)
+		}
+	}
+}
+
+// Tier tells what a cache is.
+func (s *Service) Tier(id decide.CacheID) decide.Tier { return s.listed[id].tier }
+
+// Probe asks a cache whether it is there.
+func (s *Service) Probe(id decide.CacheID, limit time.Duration) uint64 {
+	return s.yard.Probe(id, limit)
+}
+
+// Probed hears from the yard what a probe showed.
+func (s *Service) Probed(no uint64, what trips.Sight, took time.Duration) {
+	if s.upkeep != nil {
+		s.upkeep.Probed(no, what != trips.Unclear, what == trips.There, took)
+	}
+}
+
 // Lost hears that the bulletin is out of reach.
 func (s *Service) Lost() {
 	s.enter()
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -19,6 +19,7 @@
 	"threadrun/internal/deployment"
 	"threadrun/internal/mix"
 	"threadrun/internal/msgpack"
+	"threadrun/internal/operator"
 	"threadrun/internal/standin"
 	"threadrun/internal/trips"
 )
@@ -91,9 +92,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	spec, err := operator.Open("")
+	if err != nil {
+		t.Fatal(err)
+	}
 	log := logrus.New()
 	log.SetOutput(b)
-	if b.router, err = Start(file, log); err != nil {
+	if b.router, err = Start(file, spec, log); err != nil {
 		t.Fatal(err)
 	}
 	b.client = b.connect()
@@ -504,7 +509,7 @@
 		if err != nil {
 			return err
 		}
-		return b.router.Reload(file)
+		return b.router.Reload(file, b.router.spec)
 	}
 	first := b.ask("page", object, 2*time.Second, nil)
 	for _, fault := range [][3]string{{`"wait_ms":400`, `"wait_ms":"long"`, "'polls.wait_ms'"},
--- a/internal/service/start.go
+++ b/internal/service/start.go
@@ -10,13 +10,16 @@
 	"threadrun/internal/bulletin"
 	"threadrun/internal/deployment"
 	"threadrun/internal/front"
+	"threadrun/internal/operator"
 	"threadrun/internal/sockets"
 	"threadrun/internal/trips"
+	"threadrun/internal/upkeep"
 )
 
 // Running is a router at work.
 type Running struct {
 	file   *deployment.File
+	spec   *operator.File
 	engine *sockets.Engine
 	desk   *Service
 	rpc    *front.RPC
@@ -24,16 +27,17 @@
 }
 
 const (
-	serveOn    = 800 * time.Millisecond // clients go on coming for a while after the word to end
-	quietFor   = 40 * time.Millisecond  // all answered for so long
-	askAfter   = time.Second            // a cache that has said nothing for so long is asked whether it is there
+	serveOn    = 800 * time.Millisecond  // clients go on coming for a while after the word to end
+	handOver   = 1500 * time.Millisecond // for its duties to be taken by others
+	quietFor   = 40 * time.Millisecond   // all answered for so long
+	askAfter   = time.Second             // a cache that has said nothing for so long is asked whether it is there
 	doorway    = 4
 	spareShare = 2 // of the room for clients' bytes: buffers kept for reuse
 	idleShare  = 5 // idle connections are closed this part of the time before the other side does
 )
 
-// Start makes a router of its parts and opens its doors.
-func Start(file *deployment.File, log *logrus.Logger) (*Running, error) {
+// Start makes a router of its parts and opens its doors. The operator's file switches on what the deployment does not need.
+func Start(file *deployment.File, spec *operator.File, log *logrus.Logger) (*Running, error) {
 	_, _, descriptors, err := file.Limits()
 	if err != nil {
 		return nil, err
@@ -67,16 +71,42 @@
 	if err != nil {
 		return nil, file.Fault(fmt.Errorf("key 'known': %w", err))
 	}
+	if err := allowed(file, spec); err != nil {
+		return nil, err
+	}
+	if upkeep.Wanted(spec) {
+		listen, peers, _, _, _ := file.Tier()
+		engine.Do(func() {
+			desk.upkeep, err = upkeep.New(spec, desk, log, listen, peers, int(names.Own), file.Seed, names.Cases)
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
 	bound(engine, clients, room)
 	if err := engine.Listen(file.Listen, rpc.Accept); err != nil {
 		return nil, fmt.Errorf("listening on %s: %w", file.Listen, err)
 	}
-	r := &Running{file: file, engine: engine, desk: desk, rpc: rpc, done: make(chan struct{})}
+	r := &Running{file: file, spec: spec, engine: engine, desk: desk, rpc: rpc, done: make(chan struct{})}
 	go desk.Run(r.done)
 	log.WithFields(logrus.Fields{"name": file.Name, "listen": file.Listen}).Info("serving")
 	return r, nil
 }
 
+// allowed checks what an operator's file switches on against what the site allows.
+func allowed(file *deployment.File, spec *operator.File) error {
+	_, _, talk, probe, err := file.Tier()
+	switch {
+	case err != nil:
+		return err
+	case spec.Members.On && !talk:
+		return spec.Fault("members.on", "is true, but the site does not let routers talk to each other")
+	case spec.Probing.On && !probe:
+		return spec.Fault("probing.on", "is true, but the site does not let routers probe caches")
+	}
+	return nil
+}
+
 // bound sets what the engine holds. It takes a few more clients in than the front keeps: that must see a newcomer to
 // make room for it.
 func bound(e *sockets.Engine, clients, room int) {
@@ -86,10 +116,19 @@
 
 // Reload takes up another file: where the bulletin is and how it is polled, and the bounds on connections. It is
 // checked whole before anything changes. What only a new start can change is named in the log.
-func (r *Running) Reload(file *deployment.File) error {
+func (r *Running) Reload(file *deployment.File, spec *operator.File) error {
 	if err := file.Check(); err != nil {
 		return err
 	}
+	if err := allowed(file, spec); err != nil {
+		return err
+	}
+	if u := r.desk.upkeep; u != nil {
+		var err error
+		if r.engine.Do(func() { err = u.Reload(spec) }); err != nil {
+			return err
+		}
+	}
 	clients, caches, each, backlog, room, idle, _ := file.Pools()
 	wait, slack, _ := file.Polls()
 	r.engine.Do(func() {
@@ -98,7 +137,11 @@
 		r.desk.yard.Bound(caches, each)
 		r.desk.poll.Move(file.Board, wait, slack)
 	})
-	if keys := file.Held(r.file); len(keys) > 0 {
+	keys := append(file.Held(r.file), spec.Held(r.spec)...)
+	if r.desk.upkeep == nil && upkeep.Wanted(spec) {
+		keys = append(keys, "upkeep")
+	}
+	if len(keys) > 0 {
 		r.desk.log.WithField("keys", keys).Warn("reload: these keys hold from the next start on")
 	}
 	r.desk.log.WithField("bulletin", file.Board).Info("reloaded")
@@ -107,18 +150,31 @@
 
 // Leave serves on for a while, and then until all is answered and every answer is with the kernel.
 func (r *Running) Leave() {
-	r.engine.Do(r.desk.SetLeaving)
-	last, least := time.Now(), time.Now().Add(serveOn)
+	u := r.desk.upkeep
+	r.engine.Do(func() {
+		r.desk.SetLeaving()
+		if u != nil {
+			u.Leave()
+		}
+	})
+	begun := time.Now()
+	last, least := begun, begun.Add(serveOn)
 	for {
 		time.Sleep(5 * time.Millisecond)
-		quiet := false
-		r.engine.Do(func() { quiet = r.rpc.Quiet() })
+		quiet, handed := false, true
+		r.engine.Do(func() {
+			quiet = r.rpc.Quiet()
+			handed = u == nil || u.Left() || time.Since(begun) > handOver
+		})
 		if now := time.Now(); !quiet {
 			last = now
-		} else if now.After(least) && now.Sub(last) > quietFor {
-			return
+		} else if now.After(least) && now.Sub(last) > quietFor && handed {
+			break
 		}
 	}
+	if u != nil {
+		r.engine.Do(u.Gone)
+	}
 }
 
 // Stop ends everything at once.
--- a/internal/trips/trips.go
+++ b/internal/trips/trips.go
@@ -84,8 +84,21 @@
 	return nil
 }
 
-// Host hears how trips end. It is called in the midst of things, and must not call back into the yard.
-type Host interface{ Ended(t Ticket, e *End) }
+// Host hears how trips end, and what probes showed. It is called in the midst of things, and must not call back into the
+// yard.
+type Host interface {
+	Ended(t Ticket, e *End)
+	Probed(no uint64, what Sight, took time.Duration)
+}
+
+// Sight is what a probe showed.
+type Sight uint8
+
+const (
+	Unclear Sight = iota // the connection ended for another reason
+	There
+	NotThere // no connection, or no answer in time
+)
 
 // ID is a request's id on its connection: the client's own mark of the visit.
 type ID = [16]byte
@@ -105,6 +118,17 @@
 	ask     time.Duration // a cache that has said nothing for so long is asked whether it is there
 	words   [4][]byte
 	end     End
+	probes  []probe
+	probed  uint64
+}
+
+// probe is a PING that is out on behalf of the host.
+type probe struct {
+	no   uint64
+	tag  string
+	link *link
+	sent time.Time
+	ends time.Time
 }
 
 // New makes an empty yard.
@@ -212,6 +236,38 @@
 	l.open = append(l.open, trip{t, id, begin, l.conn.Queued() - int64(len(lineEnd)), l.used})
 }
 
+// Probe asks a cache whether it is there. The answer, or that none came in time, is told under the number given back; 0:
+// there is no way to ask.
+func (y *Yard) Probe(c decide.CacheID, limit time.Duration) uint64 {
+	if int(c) >= len(y.pools) || y.pools[c] == nil {
+		return 0
+	}
+	l := y.pools[c].pick(y, ID{})
+	if l == nil {
+		return 0
+	}
+	y.probed++
+	now := time.Now()
+	p := probe{no: y.probed, tag: "probe" + strconv.FormatUint(y.probed, 10), link: l, sent: now, ends: now.Add(limit)}
+	y.probes = append(y.probes, p)
+	l.conn.Send(resp.AppendWord(resp.AppendWord(resp.AppendArray(nil, 2), "PING"), p.tag))
+	l.used = now
+	return p.no
+}
+
+// shown ends the probes that a test names.
+func (y *Yard) shown(what Sight, now time.Time, test func(*probe) bool) {
+	for i := 0; i < len(y.probes); {
+		p := y.probes[i]
+		if !test(&p) {
+			i++
+			continue
+		}
+		y.probes = append(y.probes[:i], y.probes[i+1:]...)
+		y.host.Probed(p.no, what, now.Sub(p.sent))
+	}
+}
+
 // pick takes an idle connection, else a new one, else the one with the fewest trips.
 func (p *pool) pick(y *Yard, id ID) *link {
 	var best *link
@@ -353,6 +409,9 @@
 		}
 	}
 	l.in.Drop(l.yard.engine)
+	if len(l.yard.probes) > 0 {
+		l.yard.shown(Unclear, time.Now(), func(p *probe) bool { return p.link == l })
+	}
 }
 
 // Closed ends all trips of a connection as what they provably are.
@@ -364,6 +423,9 @@
 			ends[i].Reach = Unsent // somebody took the connection and ended it: the cache is there
 		}
 	}
+	if !l.conn.Up() && !errors.Is(err, syscall.ECONNRESET) { // reset when new, it is there: somebody took the connection
+		l.yard.shown(NotThere, time.Now(), func(p *probe) bool { return p.link == l })
+	}
 	open := l.open
 	l.open = nil
 	l.leave()
@@ -401,6 +463,9 @@
 
 // answer finds the trip that an answer is for. Late, repeated and unknown ones are nobody's.
 func (l *link) answer(words [][]byte) {
+	if len(l.yard.probes) > 0 && string(words[1]) == "well" {
+		l.yard.shown(There, l.heard, func(p *probe) bool { return p.tag == string(words[0]) })
+	}
 	for i := range l.open {
 		if string(l.open[i].id[:]) != string(words[0]) {
 			continue
@@ -428,6 +493,7 @@
 // Beat closes what has been idle for long, and asks a cache that has said nothing for a while whether it is there:
 // wards off sending visits into the connections of one that has vanished without a word.
 func (y *Yard) Beat(now time.Time) {
+	y.shown(NotThere, now, func(p *probe) bool { return now.After(p.ends) })
 	for _, p := range y.pools {
 		if p == nil || len(p.links) == 0 {
 			continue
--- a/internal/trips/trips_test.go
+++ b/internal/trips/trips_test.go
@@ -19,6 +19,10 @@
 
 func (h host) Ended(t Ticket, e *End) { h[t] = *e }
 
+func (h host) Probed(no uint64, what Sight, _ time.Duration) {
+	h[Ticket{Trip: decide.TripNo(-int(no))}] = End{Word: Word(what)}
+}
+
 func id(n byte) (d ID) {
 	copy(d[:], "000000000000000")
 	d[15] = '0' + n
@@ -155,7 +159,8 @@
 // ends notes how far trips had come.
 type ends []Reach
 
-func (h *ends) Ended(_ Ticket, e *End) { *h = append(*h, e.Fault.Reach) }
+func (h *ends) Ended(_ Ticket, e *End)              { *h = append(*h, e.Fault.Reach) }
+func (h *ends) Probed(uint64, Sight, time.Duration) {}
 
 // A connection reset when it is new was taken by a cache that is there; only one that never came up shows it gone. Taken
 // for the same, a few resets had healthy caches rest, and sent them a just-started cache's part for long after.
--- /dev/null
+++ b/internal/upkeep/upkeep.go
@@ -0,0 +1,498 @@
+// Package upkeep runs the cores of shared background work on sockets: it ties members, duties, ageing copies, sightings and
+// the scheduler to the line between routers, and carries out what they say by way of the service. It decides nothing.
+package upkeep
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"threadrun/ageing"
+	"threadrun/chores"
+	"threadrun/decide"
+	"threadrun/duties"
+	"threadrun/instant"
+	"threadrun/internal/front"
+	"threadrun/internal/mix"
+	"threadrun/internal/operator"
+	"threadrun/internal/peers"
+	"threadrun/members"
+	"threadrun/sightings"
+)
+
+// Host is the service, as background work needs it. All calls come under its lock, and none from within the module.
+type Host interface {
+	Now() decide.Micros
+	Router() *decide.Router // with its clock set
+	Way(ask *front.Ask) (decide.Errand, bool)
+	Arrive(from front.Client, no uint64, ask *front.Ask) bool
+	Caches(f func(id decide.CacheID, mark uint64, tier decide.Tier))
+	Tier(id decide.CacheID) decide.Tier
+	Probe(id decide.CacheID, limit time.Duration) uint64
+}
+
+// Kinds of datagrams between routers.
+const (
+	ofMembers byte = iota + 1
+	ofDuties
+	ofAgeing
+	ofSightings
+)
+
+const (
+	renewing chores.ClassID = iota
+	probing
+)
+
+const (
+	perBeat    = 16 // chores begun at a time
+	tendEvery  = time.Second
+	renewLeast = 500 * instant.Millisecond // a renewal has so long at least, and Most at most
+	renewMost  = 3 * instant.Second
+	probeMost  = 4096 // caches probed
+)
+
+// Upkeep is one router's background work.
+type Upkeep struct {
+	host      Host
+	log       *logrus.Logger
+	line      *peers.Line // nil: this router shares with nobody
+	members   *members.Members
+	duties    *duties.Duties
+	ageing    *ageing.Ageing
+	sightings *sightings.Sightings
+	chores    *chores.Scheduler
+	shares    duties.Shares
+	zone      uint16
+	renews    bool
+	probes    bool
+	every     decide.Micros
+	timeout   time.Duration
+	out       map[uint64]probe
+	cases     []ageing.UseCase
+	mark      front.Mark
+	marks     uint64
+	tended    time.Time
+	states    map[members.Mark]members.State
+}
+
+// probe is one that is out.
+type probe struct {
+	ticket chores.Ticket
+	cache  decide.CacheID
+	mark   sightings.Mark
+}
+
+// New makes background work as an operator's file says. Listen and all are where the deployment has routers listen.
+func New(file *operator.File, host Host, log *logrus.Logger, listen netip.AddrPort, all []netip.AddrPort, zone int,
+	seed uint32, cases []decide.UseCase) (*Upkeep, error) {
+	now := host.Now()
+	u := &Upkeep{host: host, log: log, zone: uint16(zone), out: map[uint64]probe{}, states: map[members.Mark]members.State{}}
+	self := members.Self{Mark: members.Mark(seed) + 1, Zone: u.zone, Weight: uint16(file.Members.Weight),
+		Life: members.Life(now / instant.Millisecond)}
+	m := file.Members
+	if m.On {
+		keys, err := peers.ReadKeys(m.KeyFile)
+		if err != nil {
+			return nil, file.Fault("members.on", "needs its key file: %v", err)
+		}
+		if m.Listen.IsValid() {
+			listen = m.Listen
+		}
+		if !listen.IsValid() {
+			return nil, file.Fault("members.on", "needs an address: 'members.listen', or the deployment's 'peer_listen'")
+		}
+		if u.line, err = peers.Open(listen, keys, u, log); err != nil {
+			return nil, file.Fault("members.on", "can't listen: %v", err)
+		}
+		self.Address = u.line.Address()
+		self.Mark = markOf(self.Address)
+		if len(m.Peers) > 0 {
+			all = m.Peers
+		}
+	}
+	u.members = members.New(now, self, u, seed^0x6d656d62, members.OrdinaryPace, members.OrdinaryDoubt)
+	if m.On {
+		var known []members.Peer
+		for _, a := range all {
+			if len(m.Seeds) == 0 {
+				known = append(known, members.Peer{Mark: markOf(a), Address: a})
+			}
+		}
+		for _, a := range m.Seeds {
+			known = append(known, members.Peer{Address: a})
+		}
+		u.members.Known(known)
+	}
+	if file.Renewing.On {
+		u.shares.Renewing = file.Renewing.Shares
+	}
+	if file.Probing.On {
+		u.shares.Probing = file.Probing.Shares
+	}
+	u.duties = duties.New(now, u.members.Self(), dutyPost{u}, seed^0x64757479, u.shares.All(), duties.OrdinaryEvenness)
+	for _, c := range cases {
+		u.cases = append(u.cases, ageing.UseCase{Fresh: c.Fresh, Harmless: c.Effect == decide.Harmless && !c.Write})
+	}
+	u.ageing = ageing.New(now, u.cases, u, u)
+	u.sightings = sightings.New(now, seed^0x73696768, sightPost{u})
+	u.chores = chores.New(now, seed^0x63686f72, []chores.Class{
+		renewing: {Name: "renewing", Priority: 1, Most: file.Renewing.Queue, Spend: allow(file.Renewing.Spend), Tries: 2,
+			Backoff: 500 * instant.Millisecond},
+		probing: {Name: "probing", Priority: 2, Most: probeMost, Spend: allow(file.Probing.Spend), Tries: 1},
+	}, chores.Ways{Cache: allow(file.Ways.Cache), Parent: allow(file.Ways.Parent), Link: allow(file.Ways.Link),
+		Origin: allow(file.Ways.Origin)}, u.Note)
+	u.set(file)
+	log.WithFields(logrus.Fields{"members": m.On, "renewing": u.renews, "probing": u.probes, "duties": u.shares.All()}).
+		Info("upkeep: background work is on")
+	return u, nil
+}
+
+// Wanted tells whether an operator's file switches anything on.
+func Wanted(file *operator.File) bool { return file.Members.On || file.Renewing.On || file.Probing.On }
+
+// set takes what may change in service.
+func (u *Upkeep) set(file *operator.File) {
+	u.renews = file.Renewing.On && u.shares.Renewing > 0
+	u.probes = file.Probing.On && u.shares.Probing > 0
+	u.every, u.timeout = decide.Micros(file.Probing.Every.Microseconds()), file.Probing.Timeout
+	u.host.Router().RenewAhead(u.renews)
+	u.chores.Spend(renewing, allow(file.Renewing.Spend))
+	u.chores.Spend(probing, allow(file.Probing.Spend))
+	u.chores.Ways(chores.Ways{Cache: allow(file.Ways.Cache), Parent: allow(file.Ways.Parent), Link: allow(file.Ways.Link),
+		Origin: allow(file.Ways.Origin)})
+}
+
+// Reload takes another file, which has been checked: keys, what is switched on and what may be spent.
+func (u *Upkeep) Reload(file *operator.File) error {
+	if u.line != nil && file.Members.On {
+		keys, err := peers.ReadKeys(file.Members.KeyFile)
+		if err != nil {
+			return file.Fault("members.on", "needs its key file: %v", err)
+		}
+		u.line.Use(keys)
+	}
+	u.set(file)
+	return nil
+}
+
+func allow(s operator.Spend) chores.Allowance {
+	return chores.Allowance{Works: s.Works, KB: s.KB, Out: s.Out}
+}
+
+func markOf(a netip.AddrPort) members.Mark { return members.Mark(mix.Name(a.String())) }
+
+// Beat does what is due. It is called under the lock, some tens of times a second.
+func (u *Upkeep) Beat(now time.Time) {
+	if u.line != nil {
+		u.line.Beat(now)
+	}
+	at := u.host.Now()
+	u.members.Tick(at)
+	u.duties.Tick(at, u.members.Standing())
+	u.ageing.Tick(at)
+	u.sightings.Tick(at)
+	u.chores.Pressed(at, u.host.Router().Pressed())
+	if u.probes {
+		u.due(at)
+	}
+	for range perBeat {
+		ticket, c, route, ok := u.chores.Next(at, u.where)
+		if !ok {
+			break
+		}
+		if c.Class == probing {
+			u.probe(at, ticket, &c, decide.CacheID(route.Cache))
+		} else {
+			u.renew(at, ticket, &c)
+		}
+	}
+	if now.Sub(u.tended) >= tendEvery {
+		u.tended = now
+		u.chores.Tend(at)
+	}
+}
+
+// Heard takes a datagram of a peer.
+func (u *Upkeep) Heard(kind byte, from netip.AddrPort, held []byte) {
+	now := u.host.Now()
+	switch kind { // what can't be read is counted where it is read
+	case ofMembers:
+		_ = u.members.Hear(now, from, held)
+	case ofDuties:
+		_ = u.duties.Hear(now, from, held)
+	case ofAgeing:
+		_ = u.ageing.Hear(now, held)
+	case ofSightings:
+		_ = u.sightings.Hear(now, held)
+	}
+}
+
+// Saw hears of a copy that answered a visit and is worth renewing.
+func (u *Upkeep) Saw(c ageing.Copy) { u.ageing.Saw(u.host.Now(), c) }
+
+// where tells the scheduler where a chore would go.
+func (u *Upkeep) where(c *chores.Chore) (chores.Route, chores.Answer) {
+	route := chores.Route{Cache: -1, Parent: -1}
+	if !u.Mine(c.Work) { // another router holds it now, or this one must rest
+		return route, chores.Never
+	}
+	if c.Class == probing {
+		id := decide.CacheID(-1)
+		u.host.Caches(func(at decide.CacheID, mark uint64, _ decide.Tier) {
+			if mark == c.Work.Key() {
+				id = at
+			}
+		})
+		if id < 0 || !u.host.Router().MayProbe(id) {
+			return route, chores.Never
+		}
+		route.Cache = int32(id)
+		return route, chores.Go
+	}
+	ask, ok := u.ask(c)
+	if !ok {
+		return route, chores.Never
+	}
+	e, ok := u.host.Way(&ask)
+	if !ok {
+		return route, chores.Later
+	}
+	route.Cache, route.Link = int32(e.Cache), true
+	if u.host.Tier(e.Source) == decide.Parent {
+		route.Parent = int32(e.Source)
+	}
+	route.Origin = !e.HeldOnly
+	return route, chores.Go
+}
+
+// ask words a renewal as the service takes it.
+func (u *Upkeep) ask(c *chores.Chore) (ask front.Ask, ok bool) {
+	now := u.host.Now()
+	copied, ok := u.ageing.Find(c.Work.Key())
+	if !ok || !u.renews || copied.Until <= now {
+		return ask, false
+	}
+	ask = front.Ask{Case: decide.UseCaseID(copied.UseCase), Object: hexed(copied.Object), Part: copied.Part,
+		Group: decide.GroupID(copied.Group), KB: copied.KB, Behind: true, Gap: copied.Gap,
+		Patience: min(max(copied.Until-now, renewLeast), renewMost)}
+	return ask, true
+}
+
+func hexed(x uint64) (m front.Mark) {
+	copy(m[:], fmt.Sprintf("%016x", x))
+	return m
+}
+
+// renew sends a renewal out, as a visit that no client waits for.
+func (u *Upkeep) renew(now decide.Micros, ticket chores.Ticket, c *chores.Chore) {
+	ask, ok := u.ask(c)
+	if !ok {
+		u.chores.Ended(now, ticket, chores.TurnedAway)
+		return
+	}
+	u.marks++
+	ask.Mark = hexed(mix.Pair(uint64(u.members.Self().Mark)^uint64(u.members.Self().Life), u.marks))
+	if !u.host.Arrive(renewals{u}, uint64(ticket), &ask) {
+		u.chores.Ended(now, ticket, chores.TurnedAway)
+	}
+}
+
+// renewals is the client of visits that no client waits for.
+type renewals struct{ u *Upkeep }
+
+func (r renewals) end(no uint64, how chores.Result) {
+	r.u.chores.Ended(r.u.host.Now(), chores.Ticket(no), how)
+}
+
+// Deliver hears that a copy was renewed.
+func (r renewals) Deliver(no uint64, _, _ []byte, _ bool) { r.end(no, chores.Done) }
+
+// Defer hears that there was no room.
+func (r renewals) Defer(no uint64, _ decide.Micros) { r.end(no, chores.TurnedAway) }
+
+// Scrap hears that a renewal failed.
+func (r renewals) Scrap(no uint64) { r.end(no, chores.Failed) }
+
+// Assigned needs nothing of it.
+func (r renewals) Assigned(uint64, decide.VisitID) {}
+
+// due hands in the probes that are this router's and due.
+func (u *Upkeep) due(now decide.Micros) {
+	u.host.Caches(func(id decide.CacheID, mark uint64, tier decide.Tier) {
+		if tier == decide.Origin || !u.sightings.Due(now, sightings.Mark(mark), u.every) {
+			return
+		}
+		w, err := duties.NewWork(duties.Probing, mark, true)
+		if err != nil || !u.Mine(w) || u.chores.Has(w) {
+			return
+		}
+		_ = u.chores.Put(now, chores.Chore{Work: w, Class: probing, Due: now + u.every/2, Until: now + u.every})
+	})
+}
+
+// probe sends a probe out.
+func (u *Upkeep) probe(now decide.Micros, ticket chores.Ticket, c *chores.Chore, id decide.CacheID) {
+	no := u.host.Probe(id, u.timeout)
+	if no == 0 {
+		u.chores.Ended(now, ticket, chores.TurnedAway)
+		return
+	}
+	u.out[no] = probe{ticket, id, sightings.Mark(c.Work.Key())}
+}
+
+// Probed hears what a probe showed: there or not, or nothing.
+func (u *Upkeep) Probed(no uint64, clear, there bool, took time.Duration) {
+	p, ok := u.out[no]
+	if !ok {
+		return
+	}
+	delete(u.out, no)
+	now := u.host.Now()
+	how := chores.Done // that a cache is not there is a result too
+	if !clear {
+		how = chores.TurnedAway
+	}
+	u.chores.Ended(now, p.ticket, how)
+	if clear {
+		u.sightings.Probed(now, sightings.Sighting{Cache: p.mark, There: there, Took: decide.Micros(took.Microseconds()), At: now})
+	}
+}
+
+// Mine tells whether a piece of work is this router's to do now.
+func (u *Upkeep) Mine(w duties.Work) bool {
+	no, ok := u.shares.Of(w)
+	if !ok {
+		return false
+	}
+	_, mine := u.duties.Mine(no, u.host.Now())
+	return mine
+}
+
+// Where tells who else holds a piece of work.
+func (u *Upkeep) Where(w duties.Work) (netip.AddrPort, bool) {
+	no, ok := u.shares.Of(w)
+	if !ok {
+		return netip.AddrPort{}, false
+	}
+	at, _, held := u.duties.At(no)
+	return at, held && at != u.members.Self().Address
+}
+
+// Renew hands a renewal to the scheduler.
+func (u *Upkeep) Renew(w duties.Work, r ageing.Renewal) {
+	if u.renews {
+		_ = u.chores.Put(u.host.Now(), chores.Chore{Work: w, Class: renewing, From: r.From, Due: r.Due, Until: r.Until, KB: r.KB})
+	}
+}
+
+// Send sends what is said of ageing copies.
+func (u *Upkeep) Send(to netip.AddrPort, b []byte) { u.send(ofAgeing, to, b) }
+
+func (u *Upkeep) send(kind byte, to netip.AddrPort, b []byte) {
+	if u.line != nil {
+		u.line.Send(kind, to, b)
+	}
+}
+
+// Changed takes a change of membership.
+func (u *Upkeep) Changed(m members.Member) {
+	was := u.states[m.Mark]
+	u.states[m.Mark] = m.State
+	if m.State != was && m.State != members.Suspect && !(was == members.Suspect && m.State == members.Alive) {
+		u.log.WithFields(logrus.Fields{"peer": m.Address, "state": m.State, "life": m.Life}).Info("members: a router's state")
+	}
+	u.duties.Member(u.host.Now(), m)
+}
+
+// Note logs a change of mode.
+func (u *Upkeep) Note(line string) { u.log.Info(line) }
+
+// dutyPost takes what duties give out.
+type dutyPost struct{ u *Upkeep }
+
+// Send sends what is said of duties.
+func (p dutyPost) Send(to netip.AddrPort, b []byte) { p.u.send(ofDuties, to, b) }
+
+// Took hears of a duty that is this router's from now on.
+func (p dutyPost) Took(no duties.No, _ duties.Term) {
+	if u := p.u; u.ageing != nil && int(no) < u.shares.Renewing {
+		u.ageing.Took(u.host.Now(), func(w duties.Work) bool {
+			of, ok := u.shares.Of(w)
+			return ok && of == no
+		})
+	}
+}
+
+// Yielded hears of a duty that is so no more: its chores are found not to be ours when they are due.
+func (p dutyPost) Yielded(duties.No, duties.Term) {}
+
+// Note logs a change of mode.
+func (p dutyPost) Note(line string) { p.u.Note(line) }
+
+// sightPost takes what sightings give out.
+type sightPost struct{ u *Upkeep }
+
+// Seen passes a sighting on to the module.
+func (p sightPost) Seen(s sightings.Sighting, _ bool) {
+	u := p.u
+	u.host.Caches(func(id decide.CacheID, mark uint64, _ decide.Tier) {
+		if mark == uint64(s.Cache) {
+			u.host.Router().Probed(id, s.There, max(u.host.Now()-s.At, 0))
+		}
+	})
+}
+
+// Send sends what is said of sightings.
+func (p sightPost) Send(to netip.AddrPort, b []byte) { p.u.send(ofSightings, to, b) }
+
+// Peers lists the routers of this zone that run.
+func (p sightPost) Peers(f func(netip.AddrPort)) {
+	p.u.members.Each(func(m members.Member) {
+		if m.State.Present() && m.Zone == p.u.zone {
+			f(m.Address)
+		}
+	})
+}
+
+// Leave tells peers that this router is to go, and hands its duties over.
+func (u *Upkeep) Leave() {
+	u.members.Leave(u.host.Now())
+	u.duties.Member(u.host.Now(), u.members.Self())
+}
+
+// Left tells whether all duties have been handed over, or there is nobody to take them.
+func (u *Upkeep) Left() bool { return u.duties.Held() == 0 || u.members.Present() == 0 }
+
+// Gone tells peers that this router ends now, and closes the line.
+func (u *Upkeep) Gone() {
+	u.members.Gone(u.host.Now())
+	if u.line != nil {
+		u.line.Close()
+	}
+}
+
+// Figures are what an observer wants to know.
+type Figures struct {
+	Members   members.Tally
+	Duties    duties.Tally
+	Ageing    ageing.Tally
+	Sightings sightings.Tally
+	Renewing  chores.Tally
+	Probing   chores.Tally
+	Line      peers.Tally
+	Present   int
+	Held      int
+}
+
+// Figures gives what has happened since the start.
+func (u *Upkeep) Figures() Figures {
+	f := Figures{Members: u.members.Tally(), Duties: u.duties.Tally(), Ageing: u.ageing.Tally(), Sightings: u.sightings.Tally(),
+		Renewing: u.chores.Tally(renewing), Probing: u.chores.Tally(probing), Present: u.members.Present(), Held: u.duties.Held()}
+	if u.line != nil {
+		f.Line = u.line.Tally()
+	}
+	return f
+}
--- a/members/members.go
+++ b/members/members.go
@@ -217,7 +217,8 @@
 // Standing tells how this router stands to the others.
 func (m *Members) Standing() Standing {
 	at := Standing{Silence: m.now - max(m.proved, m.began), Alone: m.Present() == 0 && m.now-m.heard >= aloneAfter}
-	at.Settled = m.now-m.began >= settleLeast && m.listed || m.now-m.began >= settleMost
+	at.Settled = m.now-m.began >= settleLeast && m.listed || m.now-m.began >= settleMost ||
+		len(m.all)+len(m.seeds) == 0
 	return at
 }
 
--- /dev/null
+++ b/sightings/sightings.go
@@ -0,0 +1,218 @@
+// Package sightings passes on what probes of caches showed, with its age, so that each router need not probe. Free of I/O.
+//
+// How it is called: Probed tells what an own probe showed, Hear takes a datagram of a peer, Tick sends what is to be told.
+// What is new, of one's own or of another's, goes to the Desk.
+package sightings
+
+import (
+	"cmp"
+	"encoding/binary"
+	"errors"
+	"math/bits"
+	"net/netip"
+	"slices"
+
+	"threadrun/instant"
+	"threadrun/internal/chance"
+	"threadrun/internal/octets"
+)
+
+// Micros is a time or a span in whole microseconds.
+type Micros = instant.Micros
+
+// Mark names a cache: a hash of its name, the same at every router.
+type Mark uint64
+
+// Sighting is what a probe showed.
+type Sighting struct {
+	Cache Mark
+	There bool
+	Took  Micros // until it answered
+	At    Micros // when it was seen
+}
+
+// Desk takes what comes out.
+type Desk interface {
+	Seen(s Sighting, own bool)
+	Send(to netip.AddrPort, b []byte) // b is good within the call only
+	Peers(f func(netip.AddrPort))     // those that share the caches, in an order that stays
+}
+
+const (
+	most      = 1024
+	tellEvery = 50 * instant.Millisecond
+	perSecond = 20.0 // datagrams
+	burst     = 20.0
+	entryMost = 8 + 1 + 5 + 5
+	forgets   = 60 * instant.Second
+	relays    = 2 // the logarithm of the peers, less that: how often another's is told on
+	version   = 1
+)
+
+// Oldest is the age at which a sighting says nothing any more.
+const Oldest = 3 * instant.Second
+
+// Room is the most that a datagram of this package takes.
+const Room = 208
+
+// ErrUnreadable is the error of a datagram that is not one of this package's.
+var ErrUnreadable = errors.New("sightings: unreadable datagram")
+
+// Tally counts what has happened since the start.
+type Tally struct{ Own, Heard, New, Sent, Unreadable, Full uint64 }
+
+type sight struct {
+	Sighting
+	tells int
+}
+
+// Sightings is one router's table.
+type Sightings struct {
+	now    Micros
+	desk   Desk
+	chance chance.Source
+	all    []sight // by cache
+	told   Micros
+	tokens float64
+	filled Micros
+	swept  Micros
+	peers  []netip.AddrPort
+	tally  Tally
+	buf    [Room + entryMost]byte
+}
+
+// New makes an empty table.
+func New(now Micros, seed uint32, desk Desk) *Sightings {
+	return &Sightings{now: now, desk: desk, chance: chance.Source{Seed: seed}, told: now, tokens: burst, filled: now, swept: now}
+}
+
+// Probed tells what an own probe showed.
+func (s *Sightings) Probed(now Micros, x Sighting) {
+	s.now = max(s.now, now)
+	s.tally.Own++
+	s.learn(x, true)
+}
+
+// learn takes what is newer than what is known.
+func (s *Sightings) learn(x Sighting, own bool) {
+	if s.now-x.At > Oldest {
+		return
+	}
+	at, found := slices.BinarySearchFunc(s.all, x.Cache, func(y sight, m Mark) int { return cmp.Compare(y.Cache, m) })
+	switch {
+	case !found && len(s.all) >= most:
+		s.tally.Full++
+		return
+	case !found:
+		s.all = slices.Insert(s.all, at, sight{})
+	case x.At <= s.all[at].At:
+		return
+	}
+	n := 0
+	s.desk.Peers(func(netip.AddrPort) { n++ })
+	tells := max(bits.Len(uint(n))-relays, 0)
+	if own {
+		tells = min(n, 3*bits.Len(uint(n)))
+	}
+	s.all[at] = sight{x, tells}
+	s.tally.New++
+	s.desk.Seen(x, own)
+}
+
+// Due tells whether a cache is to be probed: nobody's probe has shown anything of it for so long.
+func (s *Sightings) Due(now Micros, m Mark, every Micros) bool {
+	x, known := s.At(m)
+	return !known || now-x.At >= every
+}
+
+// At gives the last sighting of a cache.
+func (s *Sightings) At(m Mark) (Sighting, bool) {
+	at, found := slices.BinarySearchFunc(s.all, m, func(y sight, m Mark) int { return cmp.Compare(y.Cache, m) })
+	if !found {
+		return Sighting{}, false
+	}
+	return s.all[at].Sighting, true
+}
+
+// Tick tells peers what is new, and forgets what is long past.
+func (s *Sightings) Tick(now Micros) {
+	s.now = max(s.now, now)
+	if s.now-s.swept > forgets {
+		s.swept = s.now
+		s.all = slices.DeleteFunc(s.all, func(x sight) bool { return s.now-x.At > forgets })
+	}
+	if s.now-s.told < tellEvery {
+		return
+	}
+	s.told = s.now
+	if !slices.ContainsFunc(s.all, s.untold) {
+		return
+	}
+	s.peers = s.peers[:0]
+	s.desk.Peers(func(p netip.AddrPort) { s.peers = append(s.peers, p) })
+	s.chance.Shuffle(len(s.peers), func(i, j int) { s.peers[i], s.peers[j] = s.peers[j], s.peers[i] })
+	for _, to := range s.peers {
+		s.tokens = min(s.tokens+(s.now-s.filled).Seconds()*perSecond, burst)
+		if s.filled = s.now; s.tokens < 1 {
+			return
+		}
+		b := append(s.buf[:0], version)
+		for i := range s.all {
+			if s.untold(s.all[i]) {
+				if more := s.append(b, &s.all[i].Sighting); len(more) <= Room {
+					b = more
+					s.all[i].tells--
+				}
+			}
+		}
+		if len(b) == 1 {
+			return
+		}
+		s.tokens--
+		s.tally.Sent++
+		s.desk.Send(to, b)
+	}
+}
+
+func (s *Sightings) untold(x sight) bool { return x.tells > 0 && s.now-x.At < Oldest }
+
+// append writes a sighting; its age goes along, for clocks differ.
+func (s *Sightings) append(b []byte, x *Sighting) []byte {
+	there := byte(0)
+	if x.There {
+		there = 1
+	}
+	b = append(octets.AppendWord(b, uint64(x.Cache), 8), there)
+	b = binary.AppendUvarint(b, uint64(max(s.now-x.At, 0)/instant.Millisecond))
+	return binary.AppendUvarint(b, uint64(max(x.Took, 0)/instant.Millisecond))
+}
+
+// Hear takes a datagram of a peer.
+func (s *Sightings) Hear(now Micros, b []byte) error {
+	s.now = max(s.now, now)
+	r := octets.Reader{B: b}
+	if len(b) > Room || r.Byte() != version {
+		s.tally.Unreadable++
+		return ErrUnreadable
+	}
+	var list [Room / 11]Sighting
+	n := 0
+	for ; len(r.B) > 0 && n < len(list); n++ {
+		x := Sighting{Cache: Mark(r.Word(8)), There: r.Byte() == 1}
+		x.At = s.now - Micros(r.Number(1<<32))*instant.Millisecond
+		x.Took = Micros(r.Number(1<<32)) * instant.Millisecond
+		list[n] = x
+	}
+	if r.Bad {
+		s.tally.Unreadable++
+		return ErrUnreadable
+	}
+	for _, x := range list[:n] {
+		s.tally.Heard++
+		s.learn(x, false)
+	}
+	return nil
+}
+
+// Tally counts what has happened.
+func (s *Sightings) Tally() Tally { return s.tally }
