Shared duties on loopback: routers as processes, one killed, datagrams lost by a relay

Found and mended: what members said went out as what is said of ageing copies, so no router heard another.

--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -16,6 +16,7 @@
 
 var cli struct {
 	Duties dutiesRun `cmd:"" help:"Play many routers' membership and shared duties on virtual time."`
+	Live   liveRun   `cmd:"" help:"Run router processes on loopback that share probes, kill one, and count at stand-in caches."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/threadrun/shared_test.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"threadrun/internal/standin"
+)
+
+// Routers as processes of their own share the probing of caches, a fifth of their datagrams lost. One is killed outright: each
+// cache goes on being probed, by one router at a time.
+func TestSharedDutiesOverProcesses(t *testing.T) {
+	const routers, edges, every, most = 3, 8, 250 * time.Millisecond, 6 * time.Second
+	b, err := standin.NewBranch(t.TempDir(), edges, routers, 0.2, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.Close()
+	spec := `, "probing": {"on": true, "shares": 32, "every_ms": 250, "spend": {"works_per_s": 200}}`
+	var procs []*standin.Process
+	for i := range routers {
+		p, err := b.Run(i, []string{os.Args[0]}, []string{"THREADRUN_TEST_RUN=1"}, standin.Crew(routers), b.Spec(i, spec))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer p.Kill()
+		procs = append(procs, p)
+	}
+	logs := func() string {
+		var all strings.Builder
+		for _, p := range procs {
+			text, _ := os.ReadFile(p.Log)
+			all.Write(text)
+		}
+		return all.String()
+	}
+	until := func(what string, f func() bool) {
+		t.Helper()
+		for end := time.Now().Add(20 * time.Second); !f(); time.Sleep(20 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("never: %s\n%s", what, logs())
+			}
+		}
+	}
+	things := edges + 1 // and the parent
+	shared := func() bool {
+		a := b.Pings.Account(time.Now().Add(-time.Second), time.Now(), every, most)
+		return b.Pings.Things(time.Now().Add(-time.Second)) == things && a.Workers == things && a.Twice == 0
+	}
+	until("each cache in one hand", shared)
+	from := time.Now()
+	procs[0].Kill()
+	until("each cache in one hand again", func() bool { return time.Since(from) > 3*time.Second && shared() })
+	a := b.Pings.Account(from, time.Now(), every, most)
+	if a.Undone > 0 || a.Done == 0 || a.Twice*5 > a.Done || b.Relay.Lost.Load() == 0 || b.Relay.Over.Load() > 0 {
+		t.Errorf("%+v, the longest gap %v; %d datagrams lost", a, a.Longest, b.Relay.Lost.Load())
+	}
+	if err := procs[1].End(); err != nil {
+		t.Errorf("a planned end: %v", err)
+	}
+	until("the last probes all", func() bool { return b.Pings.Things(time.Now().Add(-time.Second)) == things })
+	log := func() string {
+		text, _ := os.ReadFile(procs[2].Log)
+		return string(text)
+	}
+	until("the planned end is told", func() bool { return strings.Contains(log(), "state=left") })
+	if strings.Count(log(), "state=dead") != 1 {
+		t.Errorf("the last router's log:\n%s", log())
+	}
+}
--- a/duties/table.go
+++ b/duties/table.go
@@ -269,6 +269,9 @@
 	if err != nil {
 		return err
 	}
+	if p := d.by[sender]; p != nil {
+		from = p.Address
+	}
 	switch k {
 	case digest:
 		d.compare(from, &r)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -15,6 +15,7 @@
 type Members struct {
 	On      bool
 	Listen  netip.AddrPort // not valid: as the deployment says
+	Address netip.AddrPort // where others reach it; not valid: where it listens
 	Peers   []netip.AddrPort
 	Seeds   []netip.AddrPort
 	Weight  int
@@ -105,7 +106,8 @@
 func (f *File) read(r *reader, o *object) {
 	m := o.object("members")
 	f.mark(r, m, "on")
-	f.Members = Members{On: m.truth("on"), Listen: m.address("listen"), Peers: m.addresses("peers"),
+	f.Members = Members{On: m.truth("on"), Listen: m.address("listen"), Address: m.address("address"),
+		Peers: m.addresses("peers"),
 		Seeds: m.addresses("seeds"), Weight: m.whole("weight", 1, 1, 4096), KeyFile: m.word("key_file")}
 	if f.Members.On && f.Members.KeyFile == "" {
 		r.fault(m.offset("on"), m.full("on"), "needs a key file under 'members.key_file'")
@@ -168,6 +170,8 @@
 		keys = append(keys, "members.on")
 	case a.Listen != b.Listen:
 		keys = append(keys, "members.listen")
+	case a.Address != b.Address:
+		keys = append(keys, "members.address")
 	}
 	if a.Weight != b.Weight {
 		keys = append(keys, "members.weight")
--- /dev/null
+++ b/internal/standin/branch.go
@@ -0,0 +1,164 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Branch is a branch to run router processes in: caches below a parent and the origin, a bulletin, and a relay between
+// the routers.
+type Branch struct {
+	Board  *Board
+	Caches map[string]*Cache
+	Edges  []string
+	Relay  *Relay
+	Pings  *Works
+	Fills  *Works
+	dir    string
+	key    string
+	own    []netip.AddrPort // where routers listen
+	doors  []netip.AddrPort // where others reach them
+}
+
+// NewBranch opens a branch of so many caches, for so many routers; files go into a folder. Shape sets each cache up.
+func NewBranch(dir string, edges, routers int, loss float64, shape func(*Cache)) (*Branch, error) {
+	b := &Branch{Caches: map[string]*Cache{}, Relay: NewRelay(loss, 1), Pings: &Works{}, Fills: &Works{}, dir: dir,
+		key: filepath.Join(dir, "peers.key")}
+	var err error
+	if b.Board, err = Post("127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	names := []string{"parent", "origin"}
+	for i := range edges {
+		b.Edges = append(b.Edges, fmt.Sprintf("edge-%d", i))
+	}
+	var lines []string
+	for _, name := range append(names, b.Edges...) {
+		c, err := Open(name, "127.0.0.1:0", func(c *Cache) {
+			c.Origin = name == "origin"
+			c.Others = func(name string) *Cache { return b.Caches[name] }
+			c.Pings, c.Fills = b.Pings, nil
+			if shape != nil {
+				shape(c)
+			}
+			if name != "parent" && name != "origin" {
+				c.Fills = b.Fills
+			}
+		})
+		if err != nil {
+			return nil, err
+		}
+		b.Caches[name] = c
+		lines = append(lines, b.Line(name, "up", 0))
+	}
+	b.Board.Roster(true, lines...)
+	for range routers {
+		own, err := FreeUDP()
+		if err != nil {
+			return nil, err
+		}
+		door, err := b.Relay.Door(own)
+		if err != nil {
+			return nil, err
+		}
+		b.own, b.doors = append(b.own, own), append(b.doors, door)
+	}
+	return b, os.WriteFile(b.key, []byte(strings.Repeat("5a", 32)+"\n"), 0o600)
+}
+
+// Line is a cache's line on the list.
+func (b *Branch) Line(name, state string, boot int64) string {
+	zone, kind := "branch", "cache"
+	if name == "parent" || name == "origin" {
+		zone, kind = "hub", name
+	}
+	return Line(name, b.Caches[name].Address(), zone, kind, state, boot)
+}
+
+// Close ends the branch.
+func (b *Branch) Close() {
+	b.Relay.Close()
+	for _, c := range b.Caches {
+		c.Close(false)
+	}
+	_ = b.Board.door.Close()
+}
+
+// Own is where router i listens for datagrams, past the relay.
+func (b *Branch) Own(i int) netip.AddrPort { return b.own[i] }
+
+// KeyFile is the routers' file of keys.
+func (b *Branch) KeyFile() string { return b.key }
+
+// Spec gives the operator's file of a router, with further members.
+func (b *Branch) Spec(i int, more string) string {
+	peers, _ := json.Marshal(b.doors)
+	return fmt.Sprintf(`{"members": {"on": true, "listen": %q, "address": %q, "peers": %s, "key_file": %q}%s}`, b.own[i], b.doors[i],
+		peers, b.key, more)
+}
+
+// Process is a router that runs as a process of its own.
+type Process struct {
+	*exec.Cmd
+	Door string
+	Log  string
+}
+
+// Run starts router i of the branch: a command that the environment tells of its files.
+func (b *Branch) Run(i int, command []string, environment []string, site, spec string) (*Process, error) {
+	door, err := FreeTCP()
+	if err != nil {
+		return nil, err
+	}
+	dir := filepath.Join(b.dir, fmt.Sprintf("router-%d-%d", i, time.Now().UnixNano()))
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
+	config, err := Write(dir, ConfigurationOf(door, b.Board, site))
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(dir, "operator.jsonc")
+	if err := os.WriteFile(path, []byte(spec), 0o600); err != nil {
+		return nil, err
+	}
+	log, err := os.Create(filepath.Join(dir, "log"))
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	p := &Process{exec.Command(command[0], command[1:]...), door, log.Name()}
+	p.Env = append(append(os.Environ(), environment...), "RELAY_NAME=", "RELAY_LISTEN=", "RELAY_CONFIG="+config,
+		"THREADRUN_OPERATOR="+path)
+	p.Stdout, p.Stderr = log, log
+	return p, p.Start()
+}
+
+// Client connects to a router that may be starting still.
+func (p *Process) Client(within time.Duration) (c *Client, err error) {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if c, err = Connect(p.Door); err == nil {
+			return c, nil
+		}
+	}
+	return nil, err
+}
+
+// Kill ends the process outright.
+func (p *Process) Kill() {
+	_ = p.Process.Kill()
+	_ = p.Wait()
+}
+
+// End asks the process to end, and waits for it.
+func (p *Process) End() error {
+	_ = p.Process.Signal(syscall.SIGTERM)
+	return p.Wait()
+}
--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -34,6 +34,12 @@
 	Answer func(*Get) *Reply // nil: says nothing
 	Others func(name string) *Cache
 	Origin bool
+	Pings  *Works                   // notes PINGs
+	Fills  *Works                   // notes what was fetched anew
+	Fresh  map[string]time.Duration // by use case: copies age, and are renewed behind visits that allow it
+	Takes  time.Duration            // for an answer
+	Stall  func(*Get)               // called before an answer is looked for
+	Notes  func(g *Get, note string, age time.Duration)
 
 	mu      sync.Mutex
 	door    net.Listener
@@ -133,6 +139,9 @@
 		case words[0] == "DROP" && len(words) == 2:
 			c.dropped[words[1]]++
 		case words[0] == "PING" && len(words) == 2:
+			if strings.HasPrefix(words[1], "probe") { // the router also asks on connections that have fallen silent
+				c.Pings.Note(c.Name, conn)
+			}
 			if !silent {
 				w.Lock()
 				_, _ = io.WriteString(conn, Array(words[1], "well", "-", ""))
@@ -146,7 +155,15 @@
 				if c.Answer != nil {
 					reply = c.Answer(g)
 				} else {
+					if c.Stall != nil {
+						c.Stall(g)
+					}
 					reply = c.toy(g)
+					if c.Fresh != nil && c.Notes != nil {
+						f := Fields(reply.Fields)
+						made, _ := strconv.ParseInt(f["made"], 10, 64)
+						c.Notes(g, f["detail"], time.Since(time.UnixMilli(made)))
+					}
 				}
 				if reply == nil || silent {
 					return
@@ -169,41 +186,38 @@
 // toy answers from what is kept, or from the source.
 func (c *Cache) toy(g *Get) *Reply {
 	key := g.Fields["path"] + "/" + g.Fields["blk"]
-	oldest, _ := strconv.Atoi(g.Fields["maxage"])
+	ms, _ := strconv.Atoi(g.Fields["maxage"])
+	oldest, fresh := time.Duration(ms)*time.Millisecond, c.Fresh[g.Fields["queue"]]
+	if oldest == 0 {
+		oldest = fresh
+	}
+	time.Sleep(c.Takes)
 	c.mu.Lock()
 	have, ok := c.kept[key]
 	c.mu.Unlock()
-	note := "hit"
-	switch fresh := oldest == 0 || time.Since(have.made) < time.Duration(oldest)*time.Millisecond; {
+	note, age := "hit", time.Since(have.made)
+	switch {
 	case len(g.Body) > 0 && c.Origin:
 		return &Reply{Word: "data", Fields: "detail=filled", Body: []byte("done")}
-	case ok && fresh && len(g.Body) == 0:
+	case ok && (oldest == 0 || age < oldest) && len(g.Body) == 0:
+		if fresh > 0 && age > fresh {
+			note = "stale"
+		}
+		if fresh > 0 && age > fresh*4/5 && strings.Contains(g.Fields["flags"], "swr") {
+			behind := *g
+			go c.fill(&behind, key)
+		}
 	case c.Origin:
 		now := time.Now()
 		have = copied{now, []byte(fmt.Sprintf("%s as of %s", key, now.Format("15:04:05.000"))), tagOf(key, now)}
 	default:
-		src := c.Others(g.Fields["src"])
-		if src == nil {
-			return &Reply{Word: "absent"}
-		}
-		up := *g
-		up.Fields = map[string]string{"path": g.Fields["path"], "blk": g.Fields["blk"], "maxage": g.Fields["maxage"],
-			"src": "origin"}
-		r := src.toy(&up)
-		if r.Word != "data" {
+		r := c.fill(g, key)
+		if r.Word != "data" || len(g.Body) > 0 {
 			return r
 		}
 		f := Fields(r.Fields)
 		ms, _ := strconv.ParseInt(f["made"], 10, 64)
-		if len(g.Body) > 0 {
-			return r
-		}
 		have, note = copied{time.UnixMilli(ms), r.Body, f["etag"]}, "filled"
-		if g.Fields["keep"] != "" || c.Others != nil && src.Origin {
-			c.mu.Lock()
-			c.kept[key] = have
-			c.mu.Unlock()
-		}
 	}
 	fields := fmt.Sprintf("etag=%s,made=%d,detail=%s", have.tag, have.made.UnixMilli(), note)
 	if g.Fields["have"] == have.tag {
@@ -212,6 +226,27 @@
 	return &Reply{Word: "data", Fields: fields, Body: have.body}
 }
 
+// fill fetches an object from the source that a request names, and keeps it if that is asked for.
+func (c *Cache) fill(g *Get, key string) *Reply {
+	src := c.Others(g.Fields["src"])
+	if src == nil {
+		return &Reply{Word: "absent"}
+	}
+	c.Fills.Note(key, g.Conn)
+	up := *g
+	up.Fields = map[string]string{"path": g.Fields["path"], "blk": g.Fields["blk"], "maxage": g.Fields["maxage"],
+		"queue": g.Fields["queue"], "src": "origin"}
+	r := src.toy(&up)
+	if r.Word == "data" && len(g.Body) == 0 && (g.Fields["keep"] != "" || src.Origin) {
+		f := Fields(r.Fields)
+		ms, _ := strconv.ParseInt(f["made"], 10, 64)
+		c.mu.Lock()
+		c.kept[key] = copied{time.UnixMilli(ms), r.Body, f["etag"]}
+		c.mu.Unlock()
+	}
+	return r
+}
+
 func tagOf(key string, at time.Time) string {
 	return fmt.Sprintf("%016x", at.UnixNano()^int64(len(key)))
 }
--- a/internal/standin/site.go
+++ b/internal/standin/site.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 )
 
 // Site is a settings object for one branch of caches below a parent and an origin: a use case that may run again,
@@ -12,7 +13,7 @@
  "lanes":[{"name":"page","aim":300,"aim_stretch":2,"deadline":2000,"effect":"read_like","group":"all","value":1,
    "late_worth":0.2,"window":5000},
   {"name":"order","aim":300,"deadline":2000,"effect":"non_idempotent","group":"all","value":3,"window":5000}],
- "limits":{"send_cap":6,"parallel_tries":false,"cancelling":true,"connect_timeout":300,"conn_idle":10000,
+ "limits":{"send_cap":6,"parallel_tries":false,"cancelling":true,"peers":true,"may_probe":true,"connect_timeout":300,"conn_idle":10000,
    "streams_per_conn":32},
  "rules":{"cold_from":0.5,"cold":1000,"fall_multiple":3,"overload_for":1000,"drain_grace":500},
  "extra":{"class_fresh":[60000,0],"usable_after":[10000,0],"class_write":[false,true],"worth_when_old":[0.5,1],
@@ -20,10 +21,19 @@
    "siblings":"location","can_join":true,"detail":"hit","direct":false,"parent_starts_at":0.5,"parent_ramp":1000,
    "parent_breaks_at":3,"obey_after":500,"purge_takes":3000}}`
 
+// Crew gives the settings of a branch with so many routers.
+func Crew(n int) string {
+	return strings.Replace(strings.Replace(Site, `"crew_by_zone":[0,1]`, fmt.Sprintf(`"crew_by_zone":[0,%d]`, n), 1),
+		`"fleet_size":1`, fmt.Sprintf(`"fleet_size":%d`, n), 1)
+}
+
 // Configuration gives a router's configuration.
-func Configuration(listen string, b *Board) string {
+func Configuration(listen string, b *Board) string { return ConfigurationOf(listen, b, Site) }
+
+// ConfigurationOf gives a router's configuration with some settings.
+func ConfigurationOf(listen string, b *Board, site string) string {
 	return fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"5eed","bulletin":%q,"limits":{"cores":1,"memory_mb":192,
- "sockets":512},"polls":{"wait_ms":400,"slack_ms":200},"known":%s,"settings":%s}`, listen, b.Address(), b.Known(), Site)
+ "sockets":512},"polls":{"wait_ms":400,"slack_ms":200},"known":%s,"settings":%s}`, listen, b.Address(), b.Known(), site)
 }
 
 // Write puts a configuration into a file of a folder and gives its path.
--- a/internal/upkeep/upkeep.go
+++ b/internal/upkeep/upkeep.go
@@ -107,7 +107,9 @@
 		if u.line, err = peers.Open(listen, keys, u, log); err != nil {
 			return nil, file.Fault("members.on", "can't listen: %v", err)
 		}
-		self.Address = u.line.Address()
+		if self.Address = u.line.Address(); m.Address.IsValid() {
+			self.Address = m.Address
+		}
 		self.Mark = markOf(self.Address)
 		if len(m.Peers) > 0 {
 			all = m.Peers
@@ -136,7 +138,7 @@
 	for _, c := range cases {
 		u.cases = append(u.cases, ageing.UseCase{Fresh: c.Fresh, Harmless: c.Effect == decide.Harmless && !c.Write})
 	}
-	u.ageing = ageing.New(now, u.cases, u, u)
+	u.ageing = ageing.New(now, u.cases, u, agePost{u})
 	u.sightings = sightings.New(now, seed^0x73696768, sightPost{u})
 	u.chores = chores.New(now, seed^0x63686f72, []chores.Class{
 		renewing: {Name: "renewing", Priority: 1, Most: file.Renewing.Queue, Spend: allow(file.Renewing.Spend), Tries: 2,
@@ -388,8 +390,14 @@
 	}
 }
 
+// agePost takes what ageing copies give out.
+type agePost struct{ *Upkeep }
+
 // Send sends what is said of ageing copies.
-func (u *Upkeep) Send(to netip.AddrPort, b []byte) { u.send(ofAgeing, to, b) }
+func (p agePost) Send(to netip.AddrPort, b []byte) { p.send(ofAgeing, to, b) }
+
+// Send sends what is said of members.
+func (u *Upkeep) Send(to netip.AddrPort, b []byte) { u.send(ofMembers, to, b) }
 
 func (u *Upkeep) send(kind byte, to netip.AddrPort, b []byte) {
 	if u.line != nil {
@@ -474,6 +482,9 @@
 	}
 }
 
+// All is how many duties there are.
+func (u *Upkeep) All() int { return u.shares.All() }
+
 // Figures are what an observer wants to know.
 type Figures struct {
 	Members   members.Tally
--- a/members/news.go
+++ b/members/news.go
@@ -25,6 +25,9 @@
 		e := readEntry(&h.news)
 		m.learn(&e, h.sender.Mark, false)
 	}
+	if h.sender.Address.IsValid() {
+		from = h.sender.Address // where it can be reached, whatever way this came
+	}
 	m.answer(&h, from)
 	return nil
 }
