--- a/cmd/rig/live.go
+++ b/cmd/rig/live.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	if os.Getenv("KEEP") == "" { defer os.RemoveAll(dir) }
+	defer os.RemoveAll(dir)
 	out, err := live(dir, []string{r.Router}, nil, r)
 	if err != nil {
 		return err
--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -15,8 +15,9 @@
 var errMissed = errors.New("a bound was missed")
 
 var cli struct {
-	Duties dutiesRun `cmd:"" help:"Play many routers' membership and shared duties on virtual time."`
-	Live   liveRun   `cmd:"" help:"Run router processes on loopback that share probes, kill one, and count at stand-in caches."`
+	Duties   dutiesRun   `cmd:"" help:"Play many routers' membership and shared duties on virtual time."`
+	Renewing renewingRun `cmd:"" help:"Pair a load of visits without and with renewing of ageing copies, on loopback."`
+	Live     liveRun     `cmd:"" help:"Run router processes on loopback that share probes, kill one, and count at stand-in caches."`
 }
 
 func main() {
--- a/internal/standin/works.go
+++ b/internal/standin/works.go
@@ -74,6 +74,18 @@
 	return a
 }
 
+// Since counts the works since a time.
+func (w *Works) Since(since time.Time) (n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, x := range w.list {
+		if x.At.After(since) {
+			n++
+		}
+	}
+	return n
+}
+
 // Count counts the works on one thing since a time.
 func (w *Works) Count(what string, since time.Time) (n int) {
 	w.mu.Lock()
