--- a/cmd/threadrun/main.go
+++ b/cmd/threadrun/main.go
@@ -10,21 +10,22 @@
 	"runtime/debug"
 	"syscall"
 
-	"github.com/alecthomas/kong"
 	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
 
 	"threadrun/internal/deployment"
 	"threadrun/internal/operator"
 	"threadrun/internal/service"
 )
 
-var cli struct {
-	Operator string `env:"THREADRUN_OPERATOR" type:"path" help:"The operator's file: JSON with comments."`
-}
+// operatorsFile is the path of the operator's file; empty: there is none.
+var operatorsFile string
 
 func main() {
-	kong.Parse(&cli, kong.Name("threadrun"), kong.Description("The visit router. RELAY_CONFIG names the deployment's file."))
-	if err := run(); err != nil {
+	c := &cobra.Command{Use: "threadrun", Short: "The visit router. RELAY_CONFIG names the deployment's file.", Args: cobra.NoArgs,
+		SilenceErrors: true, SilenceUsage: true, RunE: func(*cobra.Command, []string) error { return run() }}
+	c.Flags().StringVar(&operatorsFile, "operator", os.Getenv("THREADRUN_OPERATOR"), "the operator's file, JSON with comments")
+	if err := c.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "threadrun:", err)
 		os.Exit(1)
 	}
@@ -80,6 +81,6 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	spec, err := operator.Open(cli.Operator)
+	spec, err := operator.Open(operatorsFile)
 	return file, spec, err
 }
