--- a/cmd/rig/duties.go
+++ b/cmd/rig/duties.go
@@ -7,6 +7,7 @@
 	"threadrun/duties"
 	"threadrun/instant"
 	"threadrun/internal/crowd"
+	"threadrun/internal/peers"
 )
 
 // dutiesRun is the command 'rig duties'.
@@ -66,6 +67,7 @@
 func (r *dutiesRun) play() dutiesLine {
 	span := instant.Micros(r.Seconds * float64(instant.Second))
 	c := crowd.New(r.Seed, r.Routers, r.Seeds, duties.Shares{Renewing: r.Duties}, crowd.OrdinaryWay(r.Loss), workEvery)
+	c.Over = peers.Overhead
 	if r.Verbose {
 		c.Lines = func(node int, line string) { fmt.Printf("%7.2fs router %d: %s\n", c.Now.Seconds(), node, line) }
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -631,3 +631,16 @@
 		t.Fatalf("%v allocations a visit", n)
 	}
 }
+
+func BenchmarkOrdinaryVisit(b *testing.B) {
+	d, s := bench(plainLeave), &still{}
+	d.r.desk = s
+	a := video(1)
+	b.ReportAllocs()
+	for i := range b.N {
+		a.Object = ObjectID(i%512) * 0x9e3779b97f4a7c15
+		d.r.now += 2 * ms
+		d.r.Arrive(a)
+		d.r.TripEnded(s.v, Report{Ending: Delivered, Trace: Hit, Over: true, Elapsed: 10 * ms})
+	}
+}
