Sockets: bound before their connect, so that the platform names a local address for them

Every router's log says of every dial, to caches and to the bulletin alike:

sockets: no connect begun address="127.11.0.45:9090" error="file file+net 127.11.0.45:9090: getsockname: address family not supported by protocol"

followed by rests of 300 ms to 4 s of caches that nothing had ever asked ("decide: cache 44 rests 300ms after strike 1").

Checked: a probe in sockets.connect printed getsockname and getpeername of a fresh socket, after connect, of a dup, of an F_DUPFD_CLOEXEC copy and 3 ms later. On this platform a socket has no local address (the call succeeds and names no family) until its connection stands; copies of the descriptor behave as the first one, so the copying is not at fault, and the connect itself succeeds (EINPROGRESS, peer named 3 ms later). net.FileConn, to which sockets.connect hands a socket that is still connecting, refuses one without a family. Ruled out with that: limits, budgets and waiting in the module, which never had a trip that ended otherwise than NoRoute.

At fault: internal/sockets/sockets.go, connect: net.FileConn on a socket that was never bound.

Change: named() binds the socket to any address before the connect, with SO_REUSEADDR so that a port does not stay taken after its connection's end. The test asks for the local port before a connect; without the bind it is 0, and the test fails.

--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -212,13 +212,15 @@
 	if err != nil {
 		return nil, err
 	}
-	family, sa := syscall.AF_INET, syscall.Sockaddr(&syscall.SockaddrInet4{Port: int(to.Port())})
+	family, sa, from := syscall.AF_INET, syscall.Sockaddr(&syscall.SockaddrInet4{Port: int(to.Port())}),
+		syscall.Sockaddr(&syscall.SockaddrInet4{})
 	if ip := to.Addr().Unmap(); ip.Is4() {
 		sa.(*syscall.SockaddrInet4).Addr = ip.As4()
 	} else {
-		family, sa = syscall.AF_INET6, &syscall.SockaddrInet6{Port: int(to.Port()), Addr: ip.As16()}
+		family, sa, from = syscall.AF_INET6, &syscall.SockaddrInet6{Port: int(to.Port()), Addr: ip.As16()},
+			&syscall.SockaddrInet6{}
 	}
-	fd, err := syscall.Socket(family, syscall.SOCK_STREAM|syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC, 0)
+	fd, err := named(family, from)
 	if err != nil {
 		return nil, err
 	}
@@ -230,6 +232,24 @@
 	return net.FileConn(f)
 }
 
+// named makes a socket that has a local address before its connect is begun: wards off a platform that gives it one
+// only once the connection stands, which the library that takes the socket over refuses.
+func named(family int, from syscall.Sockaddr) (int, error) {
+	fd, err := syscall.Socket(family, syscall.SOCK_STREAM|syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return 0, err
+	}
+	// Without this a port would stay taken for a minute after its connection's end.
+	err = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	if err == nil {
+		err = syscall.Bind(fd, from)
+	}
+	if err != nil {
+		_ = syscall.Close(fd)
+	}
+	return fd, err
+}
+
 func (e *Engine) forget(c *Conn) {
 	for i, d := range e.dialing {
 		if d == c {
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -152,3 +153,29 @@
 		t.Errorf("a connect that hangs: %v", late)
 	}
 }
+
+// A socket has a local address before its connect is begun. A platform that gives it one only once the connection stands
+// had every connect refused, and with them every visit.
+func TestNamedBeforeConnect(t *testing.T) {
+	for family, any := range map[int]syscall.Sockaddr{syscall.AF_INET: &syscall.SockaddrInet4{},
+		syscall.AF_INET6: &syscall.SockaddrInet6{}} {
+		fd, err := named(family, any)
+		if errors.Is(err, syscall.EAFNOSUPPORT) || errors.Is(err, syscall.EADDRNOTAVAIL) {
+			continue // a machine without this family
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		name, err := syscall.Getsockname(fd)
+		_ = syscall.Close(fd)
+		port := 0
+		switch n := name.(type) {
+		case *syscall.SockaddrInet4:
+			port = n.Port
+		case *syscall.SockaddrInet6:
+			port = n.Port
+		}
+		if err != nil || port == 0 {
+			t.Errorf("family %d: port %d before the connect, %v", family, port, err)
+		}
+	}
+}
