--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -18,6 +18,7 @@
 	Duties   dutiesRun   `cmd:"" help:"Play many routers' membership and shared duties on virtual time."`
 	Renewing renewingRun `cmd:"" help:"Pair a load of visits without and with renewing of ageing copies, on loopback."`
 	Live     liveRun     `cmd:"" help:"Run router processes on loopback that share probes, kill one, and count at stand-in caches."`
+	Loss     lossRun     `cmd:"" help:"Take apart what a play with a trace of its visits lost, from the routers' logs."`
 	Plot     plotRun     `cmd:"" help:"Draw takeover and datagrams over the size of the tier."`
 }
 
--- a/decide/api.go
+++ b/decide/api.go
@@ -187,6 +187,18 @@
 	OriginFailed
 )
 
+// String words an ending for a trace.
+func (e Ending) String() string { return endings[e] }
+
+var endings = [...]string{"delivered", "failed", "refused", "too slow", "no route", "broken", "withdrawn", "never sent",
+	"lacking"}
+
+// String words a trace.
+func (t Trace) String() string { return traces[t] }
+
+var traces = [...]string{"none", "hit", "filled", "filled by origin", "joined", "past fresh", "source refused",
+	"source lost", "source lacks", "no place", "origin failed"}
+
 // IsFill tells whether the answer came by a fill of its own, whatever the source.
 func (t Trace) IsFill() bool { return t == Filled || t == FilledByOrigin }
 
--- a/internal/deployment/site.go
+++ b/internal/deployment/site.go
@@ -21,6 +21,7 @@
 	Parent, Origin string // kinds of machine
 	Own            decide.ZoneID
 	Cases          []decide.UseCase
+	PaceKB         float64 // KB a second of one answer at full pace
 }
 
 // UseCase finds a use case by its name.
@@ -74,7 +75,7 @@
 	if k.err != nil {
 		return nil, nil, k.err
 	}
-	n.Own, n.Cases = branch.Zone, cases
+	n.Own, n.Cases, n.PaceKB = branch.Zone, cases, branch.PaceKB
 	return decide.New(seed, desk, cases, tenants, branch, leave, edge, parent, purges), n, nil
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -54,6 +54,7 @@
 	Renewing Renewing
 	Probing  Probing
 	Ways     Ways
+	Trace    bool // a log line for each step of each visit
 
 	path string
 	at   map[string]int // lines of keys that are checked against the deployment
@@ -137,6 +138,9 @@
 		Link:   spend(b.object("link"), Spend{Works: 40, KB: 4000, Out: 8}),
 		Origin: spend(b.object("origin"), Spend{Works: 20, KB: 2000, Out: 4})}
 	b.done()
+	t := o.object("trace")
+	f.Trace = t.truth("visits")
+	t.done()
 	alone := !f.Members.On && (len(f.Members.Peers) > 0 || len(f.Members.Seeds) > 0)
 	if alone && f.Renewing.On {
 		r.fault(n.offset("on"), "renewing.on", "shares work with peers, but 'members.on' is false")
@@ -185,5 +189,8 @@
 	if f.Renewing.Queue != was.Renewing.Queue {
 		keys = append(keys, "renewing.queue")
 	}
+	if f.Trace != was.Trace {
+		keys = append(keys, "trace.visits")
+	}
 	return keys
 }
--- a/internal/service/endings.go
+++ b/internal/service/endings.go
@@ -37,8 +37,8 @@
 	return decide.TooSlow
 }
 
-// trace reads the note of an answer.
-func trace(note []byte) decide.Trace { return traces[string(note)] }
+// noted reads the note of an answer.
+func noted(note []byte) decide.Trace { return traces[string(note)] }
 
 var traces = map[string]decide.Trace{"hit": decide.Hit, "filled": decide.Filled, "via_origin": decide.FilledByOrigin,
 	"joined": decide.Joined, "stale": decide.PastFresh, "src_refused": decide.SourceRefused,
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -44,6 +44,7 @@
 	list    []decide.Listed
 	front   func(now time.Time) // upkeep of the front
 	upkeep  *upkeep.Upkeep      // background work; nil: none
+	trace   *trace              // of each visit; nil: none
 	leaving bool
 	head    []byte
 	fields  []byte
@@ -67,6 +68,7 @@
 	no     uint64
 	ask    front.Ask // Body and Have point into bytes
 	bytes  []byte
+	came   decide.Micros
 	out    []out
 }
 
@@ -196,7 +198,7 @@
 		if p := recover(); p != nil {
 			s.log.WithField("panic", p).Error("service: a trip's end")
 			if c := s.charge(e.visit); c != nil {
-				c.client.Scrap(c.no)
+				s.scrap(c)
 			}
 		}
 	}()
@@ -262,6 +264,7 @@
 func (s *Service) Left(v decide.VisitID) {
 	if c := s.charge(v); c != nil {
 		s.enter()
+		s.trace.answer(c, "left", s.now)
 		s.router.Left(v)
 	}
 }
@@ -274,9 +277,10 @@
 	c := &s.charges[v.Place()]
 	out := c.out[:0]
 	*c = *s.arrived
-	c.visit, c.out = v, out
+	c.visit, c.came, c.out = v, s.now, out
 	s.marks[c.ask.Mark] = struct{}{}
 	c.client.Assigned(c.no, v)
+	s.trace.came(c, s.now)
 }
 
 // Send carries out an errand.
@@ -293,6 +297,7 @@
 	s.head, s.fields = trips.AppendGet(s.head[:0], &get, len(c.ask.Body), s.fields)
 	t := trips.Ticket{Visit: v, Trip: n}
 	s.alarm(alarm{at: e.Until, trip: t})
+	s.trace.sent(c, n, &e, s.now)
 	s.yard.Send(t, e.Cache, c.ask.Mark, s.head, c.ask.Body)
 }
 
@@ -302,7 +307,7 @@
 	if o == nil {
 		return
 	}
-	s.close(c, o, silence(s.yard.Drop(t, o.cache)), decide.NoTrace, false, 0)
+	s.close(c, o, silence(s.yard.Drop(t, o.cache)), nil)
 }
 
 // Withdraw gives one trip up.
@@ -310,15 +315,25 @@
 	t := trips.Ticket{Visit: v, Trip: n}
 	if c, o := s.underWay(t); o != nil {
 		s.yard.Drop(t, o.cache)
-		s.close(c, o, decide.Withdrawn, decide.NoTrace, false, 0)
+		s.close(c, o, decide.Withdrawn, nil)
 	}
 }
 
-// close notes the end of a trip for the module.
-func (s *Service) close(c *charge, o *out, end decide.Ending, trace decide.Trace, over bool, made decide.Micros) {
+// close notes the end of a trip for the module; e is what the yard told of it, if that told.
+func (s *Service) close(c *charge, o *out, end decide.Ending, e *trips.End) {
 	o.over = true
-	s.ends = append(s.ends, ended{c.visit, decide.Report{Trip: o.trip, Ending: end, Trace: trace, Over: over,
-		Elapsed: max(s.clock()-o.sent, 0), Made: made}})
+	now := s.clock()
+	rep := decide.Report{Trip: o.trip, Ending: end, Over: end == decide.Delivered, Elapsed: max(now-o.sent, 0)}
+	if e != nil {
+		rep.Trace = noted(e.Field("detail"))
+		if rep.Over && s.upkeep != nil {
+			if ms, err := strconv.ParseInt(string(e.Field("made")), 10, 64); err == nil {
+				rep.Made = s.own(ms)
+			}
+		}
+	}
+	s.trace.ended(c, o, end, rep.Trace, e, now)
+	s.ends = append(s.ends, ended{c.visit, rep})
 }
 
 // Ended hears from the yard how a trip ended.
@@ -327,33 +342,36 @@
 	if o == nil {
 		return
 	}
-	end, good := ending(e), e.Word == trips.Data || e.Word == trips.Unchanged
-	if good {
+	end := ending(e)
+	if end == decide.Delivered {
 		c.client.Deliver(c.no, e.Field("etag"), e.Body, e.Word == trips.Unchanged)
 	}
-	made := decide.Micros(0)
-	if good && s.upkeep != nil {
-		if ms, err := strconv.ParseInt(string(e.Field("made")), 10, 64); err == nil {
-			made = s.own(ms)
-		}
+	s.close(c, o, end, e)
+	if end == decide.Delivered {
+		s.trace.answer(c, "delivered", s.clock())
 	}
-	s.close(c, o, end, trace(e.Field("detail")), good, made)
 }
 
 // Defer answers that trying again is harmless, and when to where the site lets clients be told.
 func (s *Service) Defer(v decide.VisitID, comeback decide.Micros) {
 	if c := s.charge(v); c != nil {
 		c.client.Defer(c.no, comeback)
+		s.trace.answer(c, "deferred", s.now)
 	}
 }
 
 // Scrap answers that the visit failed.
 func (s *Service) Scrap(v decide.VisitID) {
 	if c := s.charge(v); c != nil {
-		c.client.Scrap(c.no)
+		s.scrap(c)
 	}
 }
 
+func (s *Service) scrap(c *charge) {
+	c.client.Scrap(c.no)
+	s.trace.answer(c, "scrapped", s.now)
+}
+
 // Release forgets a visit.
 func (s *Service) Release(v decide.VisitID) {
 	if c := s.charge(v); c != nil {
--- a/internal/service/start.go
+++ b/internal/service/start.go
@@ -74,6 +74,9 @@
 	if err := allowed(file, spec); err != nil {
 		return nil, err
 	}
+	if spec.Trace {
+		desk.trace = &trace{log, names}
+	}
 	if upkeep.Wanted(spec) {
 		listen, peers, _, _, _ := file.Tier()
 		engine.Do(func() {
--- /dev/null
+++ b/internal/service/trace.go
@@ -0,0 +1,62 @@
+package service
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"threadrun/decide"
+	"threadrun/internal/deployment"
+	"threadrun/internal/trips"
+)
+
+// trace prints what becomes of each visit, for a play whose losses are to be taken apart. It is off unless the operator's
+// file switches it on, and costs one look at a nil then.
+type trace struct {
+	log   *logrus.Logger
+	names *deployment.Names
+}
+
+func (t *trace) line(c *charge, at decide.Micros, what string, f logrus.Fields) {
+	f["id"], f["after_us"] = string(c.ask.Mark[:]), int64(at-c.came)
+	t.log.WithFields(f).Info("visit " + what)
+}
+
+func (t *trace) came(c *charge, at decide.Micros) {
+	if t == nil {
+		return
+	}
+	use := &t.names.Cases[c.ask.Case]
+	aim := use.Expected
+	if t.names.PaceKB > 0 {
+		aim += decide.Micros(use.Stretch * c.ask.KB / t.names.PaceKB * 1e6)
+	}
+	t.line(c, at, "came", logrus.Fields{"case": t.names.UseCases[c.ask.Case], "worth": use.Importance,
+		"late_worth": use.LateWorth, "aim_us": int64(aim), "left_us": int64(c.ask.Patience), "kb": c.ask.KB,
+		"object": string(c.ask.Object[:]), "part": c.ask.Part})
+}
+
+func (t *trace) sent(c *charge, n decide.TripNo, e *decide.Errand, at decide.Micros) {
+	if t == nil {
+		return
+	}
+	t.line(c, at, "sent", logrus.Fields{"trip": int(n), "cache": int(e.Cache), "source": int(e.Source),
+		"rank": e.Rank, "held": e.HeldOnly, "limit_us": int64(e.Until - at)})
+}
+
+func (t *trace) ended(c *charge, o *out, end decide.Ending, shown decide.Trace, e *trips.End, at decide.Micros) {
+	if t == nil {
+		return
+	}
+	f := logrus.Fields{"trip": int(o.trip), "cache": int(o.cache), "ending": end.String(), "trace": shown.String(),
+		"took_us": int64(at - o.sent)}
+	if e != nil && e.Fault != nil {
+		f["error"] = e.Fault.Error()
+	}
+	t.line(c, at, "trip ended", f)
+}
+
+func (t *trace) answer(c *charge, word string, at decide.Micros) {
+	if t == nil {
+		return
+	}
+	t.line(c, at, "answered", logrus.Fields{"answer": word, "trips": len(c.out)})
+}
--- /dev/null
+++ b/internal/service/trace_test.go
@@ -0,0 +1,34 @@
+package service
+
+import (
+	"strings"
+	"testing"
+)
+
+// With the trace on, each step of a visit is a line under its own id; without it, none is.
+func TestTrace(t *testing.T) {
+	for _, on := range []bool{true, false} {
+		b := open(t, nil)
+		if on {
+			b.router.engine.Do(func() { b.router.desk.trace = &trace{b.router.desk.log, b.router.desk.names} })
+		}
+		b.wait(b.ask("page", "00000000000000aa", long, nil))
+		b.close()
+		b.mu.Lock()
+		text := b.log.String()
+		b.mu.Unlock()
+		var steps []string
+		for _, line := range strings.Split(text, "\n") {
+			if _, rest, ok := strings.Cut(line, `msg="visit `); ok {
+				step, _, _ := strings.Cut(rest, `"`)
+				steps = append(steps, step)
+				if !strings.Contains(line, "id=0000000000000001") {
+					t.Errorf("another id: %s", line)
+				}
+			}
+		}
+		if got := strings.Join(steps, ", "); on && got != "came, sent, trip ended, answered" || !on && got != "" {
+			t.Errorf("on %v: %q\n%s", on, got, text)
+		}
+	}
+}
