Attempts are held back until their connection stands, and recalled when they may not begin

Three things were wrong then: its client could have left meanwhile (an attempt began up to 0.25 s after), the deadline passed to the cache was that of the sending (0.25 s past the client's), and a drain or a purge told meanwhile no longer counted. The lines: trips.Yard.Send gave head and body to Conn.Send at once; service.Left took nothing back.

Change: connections are dialed by the library's dialer and handed over once they stand (own connect code goes); a request is written only where its connection takes it at once, with what is left of its budget; Recall takes one back that has not begun, when its client leaves, the list closes its cache or source, or its object is purged. A retired connection gives back what it holds as never run. Rules learn: no attempt over 0.1 s after its client left, deadline at most what the client has left (slack 0.15 s), the cold sum with 2 roots from 30 calls on. A narrow way now also delays connects. TestNamedBeforeConnect tested own connect code that is gone; its reason (a platform that names a socket only once it stands) is tested by TestConnectedOnceItStands. TestDropBehindOthers is stricter: the second request proves unsent, where it counted as sent.

--- a/internal/drill/apply.go
+++ b/internal/drill/apply.go
@@ -10,7 +10,10 @@
 	"threadrun/rules"
 )
 
-const tail = 500 * ms // until what was on its way meanwhile has been sent again
+const (
+	tail      = 500 * ms // until what was on its way meanwhile has been sent again
+	opensLate = 250 * ms // connects over a narrow way; the settings allow 300 ms for one
+)
 
 var errName = errors.New("no such name here")
 
@@ -160,8 +163,8 @@
 		a, b := d.host(l.Names[0]), d.host(l.Names[1])
 		y := d.w.Way(a, b)
 		if done = y.PerMs == 0; done {
-			y.PerMs, a.Torn, a.Sends = 20, 0.9, 512
-			after(func() { y.PerMs, a.Torn, a.Sends = 0, 0.1, 1<<16 })
+			y.PerMs, y.Opens, a.Torn, a.Sends = 20, opensLate, 0.9, 512
+			after(func() { y.PerMs, y.Opens, a.Torn, a.Sends = 0, 0, 0.1, 1<<16 })
 		}
 	case faults.Reset:
 		a, b := d.host(l.Names[0]), d.host(l.Names[1])
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -172,7 +172,7 @@
 	d := &Drill{w: simnet.New(seed), plan: plan, script: script, quiet: logrus.New()}
 	d.quiet.SetOutput(io.Discard)
 	d.story = newStory(d)
-	terms := rules.Terms{Grace: grace, Obey: obey, Slack: slack, Lost: 550 * ms, Late: 7 * instant.Second, Back: 3 * instant.Second, Window: 5 * instant.Second,
+	terms := rules.Terms{Grace: grace, Obey: obey, Slack: slack, Begin: 100 * ms, Spare: 150 * ms, Lost: 550 * ms, Late: 7 * instant.Second, Back: 3 * instant.Second, Window: 5 * instant.Second,
 		Cold: map[rules.Machine]rules.Cold{}}
 	d.watch = rules.New(terms)
 	host := func(name string, a, b byte) *simnet.Host {
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -116,6 +116,7 @@
 		{"clients that leave and ask again", `8s clients leave x0.9 for 8s
 9s origin slow x10 for 5s
 9.5s cache-3 slow x8 for 6s`, "leave: left"},
+		{"clients that leave while connects come up late", lateConnects() + "8s clients leave x0.9 for 12s\n", "leave+narrow: left"},
 		{"a holder of duties that dies", `8s router-0 stops for 2s
 8.2s router-1 dies for 2s
 8.4s cache-2 dies for 3s
@@ -164,6 +165,20 @@
 	}
 }
 
+// lateConnects has all connects of all routers come up late, and their idle connections reset again and again.
+func lateConnects() string {
+	var b strings.Builder
+	for router := range 3 {
+		for cache := range 12 {
+			fmt.Fprintf(&b, "8s way router-%d cache-%d narrow for 12s\n", router, cache)
+			for at := 9; at < 19; at++ {
+				fmt.Fprintf(&b, "%ds way router-%d cache-%d reset idle x8\n", at, router, cache)
+			}
+		}
+	}
+	return b.String()
+}
+
 // A machine that breaks what it is to keep to is seen: a router that is told of no drain goes on sending to the cache, and the rules say so.
 func TestAWatchThatSees(t *testing.T) {
 	p := Ordinary(key(t))
--- a/internal/drill/machine.go
+++ b/internal/drill/machine.go
@@ -221,7 +221,7 @@
 func (g *guest) get(at Micros) {
 	d := g.m.d
 	e := &errand{g: g, id: string(g.words[1]), router: d.routerAt(g.conn.String()), body: len(g.words[3]) > 0}
-	name, part := "", ""
+	name, part, budget := "", "", Micros(0)
 	for _, pair := range bytes.Split(g.words[2], []byte(",")) {
 		k, v, _ := strings.Cut(string(pair), "=")
 		switch k {
@@ -231,6 +231,8 @@
 			part = v
 		case "src":
 			e.src = v
+		case "budget":
+			budget = millis(v)
 		case "keep":
 			e.rank, _ = strconv.Atoi(v)
 		case "maxage":
@@ -259,7 +261,7 @@
 		source = s.id
 	}
 	g.open = append(g.open, e)
-	d.tell(rules.Event{What: rules.Came, Visit: e.visit, Router: e.router, Machine: g.m.id, Source: source, Trip: e.trip, Sent: at})
+	d.tell(rules.Event{What: rules.Came, Visit: e.visit, Router: e.router, Machine: g.m.id, Source: source, Trip: e.trip, Sent: at, Budget: budget})
 	g.m.take(e)
 }
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -51,8 +51,6 @@
 	trace   *trace              // of each visit; nil: none
 	leaving bool
 	planted drains // see plant.go
-	head    []byte
-	fields  []byte
 }
 
 // cache is what sockets need of one.
@@ -61,6 +59,7 @@
 	boot    int64         // Unix ms, as listed
 	started decide.Micros // the same on our clock
 	removed bool
+	changed bool // by the last list: it drains, is gone or has started anew
 	mark    uint64
 	tier    decide.Tier
 	ours    bool // of this branch, or a parent
@@ -285,10 +284,35 @@
 
 // Left hears that a visit's client has gone.
 func (s *Service) Left(v decide.VisitID) {
-	if c := s.charge(v); c != nil {
-		s.enter()
-		s.trace.answer(c, "left", s.now)
-		s.router.Left(v)
+	c := s.charge(v)
+	if c == nil {
+		return
+	}
+	s.enter()
+	s.trace.answer(c, "left", s.now)
+	s.recallFrom(c, decide.Withdrawn, func(*out) bool { return true }) // no attempt begins once its client has gone
+	s.router.Left(v)
+}
+
+// recall takes back the attempts that have not begun and that a test names. The module hears that they never ran, and decides anew.
+func (s *Service) recall(test func(*charge, *out) bool) {
+	if s.yard.Held() == 0 {
+		return
+	}
+	for i := range s.charges {
+		if c := &s.charges[i]; c.client != nil {
+			s.recallFrom(c, decide.NeverSent, func(o *out) bool { return test(c, o) })
+		}
+	}
+}
+
+// recallFrom does so for the attempts of one request.
+func (s *Service) recallFrom(c *charge, end decide.Ending, test func(*out) bool) {
+	for i := range c.out {
+		o := &c.out[i]
+		if !o.over && test(o) && s.yard.Recall(trips.Ticket{Visit: c.visit, Trip: o.trip}, o.cache) {
+			s.close(c, o, end, nil)
+		}
 	}
 }
 
@@ -317,11 +341,10 @@
 	if e.Source != decide.NoCache && e.Source != e.Cache {
 		get.Source = s.listed[e.Source].name
 	}
-	s.head, s.fields = trips.AppendGet(s.head[:0], &get, len(c.ask.Body), s.fields)
 	t := trips.Ticket{Visit: v, Trip: n}
 	s.alarm(alarm{at: e.Until, trip: t})
 	s.trace.sent(c, n, &e, s.now)
-	s.yard.Send(t, e.Cache, c.ask.Mark, s.head, c.ask.Body)
+	s.yard.Send(t, e.Cache, &get, c.ask.Body)
 }
 
 // late ends a trip at its limit.
@@ -442,13 +465,17 @@
 // Roster takes a list of caches from the bulletin.
 func (s *Service) Roster(whole bool, list []bulletin.Entry) {
 	s.list = s.list[:0]
+	for i := range s.listed {
+		s.listed[i].changed = false
+	}
 	if whole {
 		for i := range s.listed {
+			s.listed[i].changed = !s.listed[i].removed
 			s.listed[i].removed = true
 		}
 		for _, x := range list { // before any id of one that stays could go to another
 			if id, ok := s.caches[x.Name]; ok {
-				s.listed[id].removed = false
+				s.listed[id].removed, s.listed[id].changed = false, false
 			}
 		}
 	}
@@ -471,6 +498,7 @@
 			}
 		}
 		c.boot, c.removed = x.Started, x.State == bulletin.Removed
+		c.changed = anew || x.State != bulletin.Up
 		c.mark, c.tier = mix.Name(x.Name), s.names.Tier(x.Kind)
 		c.ours = c.tier != decide.Edge || s.names.Zone(x.Zone) == s.names.Own
 		if x.State != bulletin.Removed {
@@ -491,6 +519,12 @@
 	}
 	s.enter()
 	s.router.List(s.list, whole)
+	s.recall(func(_ *charge, o *out) bool { return s.changed(o.cache) || s.changed(o.source) })
+}
+
+// changed tells whether the list that came last says that a cache is not up, or has started anew.
+func (s *Service) changed(id decide.CacheID) bool {
+	return id != decide.NoCache && s.listed[id].changed
 }
 
 // number gives a new cache its id, if it can that of one that is gone: else a long day's replacements would fill the
@@ -532,6 +566,9 @@
 	s.enter()
 	ago := max(s.now-s.own(issued), 0)
 	s.router.Purged(decide.ObjectID(mix.Name(object)), decide.GroupID(group), whole, ago)
+	s.recall(func(c *charge, _ *out) bool { // its accepted age was reckoned before the purge
+		return whole && c.ask.Group == decide.GroupID(group) || !whole && string(c.ask.Object[:]) == object
+	})
 	if s.upkeep != nil {
 		s.upkeep.Purged(mix.Name(object), group, whole, s.now-ago)
 	}
--- a/internal/simnet/ground.go
+++ b/internal/simnet/ground.go
@@ -41,7 +41,7 @@
 }
 
 // Dial begins a connect.
-func (g *Ground) Dial(address string, c *sockets.Conn) (sockets.Wire, error) {
+func (g *Ground) Dial(address string, c *sockets.Conn) (func(), error) {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, err
@@ -50,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return e, nil
+	return e.Close, nil
 }
 
 // Random draws from the world's chance.
--- a/internal/simnet/stream.go
+++ b/internal/simnet/stream.go
@@ -118,7 +118,8 @@
 		w.At(w.now+instant.Millisecond, func() { e.fail(syscall.EHOSTUNREACH) })
 		return
 	}
-	w.At(w.now+w.takes(w.Way(e.h, to), 60), func() {
+	way := w.Way(e.h, to)
+	w.At(w.now+way.Opens+w.takes(way, 60), func() {
 		switch d := to.doors[e.remote.Port()]; {
 		case e.is != connecting:
 		case w.cut(e.h, to) || to.Hang:
@@ -189,8 +190,16 @@
 		return
 	}
 	e.is = open
-	e.fill()
-	e.pump()
+	e.h.w.At(e.h.w.now, func() {
+		e.h.turn(e.life, func() {
+			if e.is != open || !e.conn.Established(func() (sockets.Wire, error) { return e, nil }) {
+				return
+			}
+			if e.read(); e.ended {
+				e.end()
+			}
+		})
+	})
 }
 
 // fill has the kernel take what it has room for.
@@ -253,7 +262,7 @@
 
 // read has the process read what has come.
 func (e *end) read() {
-	if e.reading || e.conn == nil || len(e.rcv) == 0 || e.is != open {
+	if e.reading || e.conn == nil || !e.conn.Up() || len(e.rcv) == 0 || e.is != open {
 		return
 	}
 	e.reading = true
@@ -285,7 +294,7 @@
 
 // end tells the owner that the other side has ended, once all that came before is read.
 func (e *end) end() {
-	if e.conn == nil || len(e.rcv) > 0 || e.told || e.is != open {
+	if e.conn == nil || !e.conn.Up() || len(e.rcv) > 0 || e.told || e.is != open {
 		return
 	}
 	e.h.w.At(e.h.w.now, func() {
@@ -378,6 +387,8 @@
 
 func (e *end) Waiting() bool { return len(e.rcv) > 0 }
 
+func (e *end) Finished() bool { return e.ended && len(e.rcv) == 0 }
+
 func (e *end) String() string { return e.remote.String() }
 
 // Half has no more written on a connection that is read on.
--- a/internal/simnet/world.go
+++ b/internal/simnet/world.go
@@ -48,6 +48,7 @@
 	Delay  Micros
 	Jitter Micros  // at most this is added, by chance
 	PerMs  int     // bytes a millisecond; 0: no bound
+	Opens  Micros  // by so much later connects come up
 	Loss   float64 // shares of datagrams
 	Double float64
 	Cut    bool // nothing arrives
--- a/internal/sockets/ground.go
+++ b/internal/sockets/ground.go
@@ -13,8 +13,8 @@
 	Wall() time.Time
 	// Listen has a door opened at an address; close ends it.
 	Listen(address string, d *Door) (close func(), err error)
-	// Dial begins a connect and does not wait for it. Bytes may be given to its wire at once.
-	Dial(address string, c *Conn) (Wire, error)
+	// Dial begins a connect and does not wait for it. Conn.Established or Conn.Ended tells how it went; cancel gives it up.
+	Dial(address string, c *Conn) (cancel func(), err error)
 	// Datagrams opens an address for datagrams.
 	Datagrams(address netip.AddrPort) (Datagrams, error)
 	// Turns calls f again and again: after the span that its last call gave back, or as soon as rung. Ended is called once, after the
@@ -32,7 +32,8 @@
 	// does not tell of it. Waits says that something given before has not gone yet.
 	Send(parts [][]byte, waits bool) (gone int)
 	Close()
-	Waiting() bool // bytes have come that were not handed on yet
+	Waiting() bool  // bytes have come that were not handed on yet
+	Finished() bool // the other side has ended its sending, and nothing before that waits to be read
 	String() string
 }
 
@@ -53,6 +54,30 @@
 // Took hears that the other end's machine has taken n more of the bytes given to the wire. It needs no lock.
 func (c *Conn) Took(n int) { c.sent.Add(int64(n)) }
 
+// Established hands a dialed connection its lower end, made by tie under the lock. It is called without the lock. False: the
+// connection was closed meanwhile or tie failed, and what was connected is to be closed.
+func (c *Conn) Established(tie func() (Wire, error)) bool {
+	c.engine.mu.Lock()
+	defer c.engine.leave(c)
+	if c.over {
+		return false
+	}
+	wire, err := tie()
+	if err != nil {
+		c.Fail(&Theirs{err})
+		return false
+	}
+	c.wire, c.cancel = wire, nil
+	if early := c.early; len(early) > 0 {
+		c.early = nil
+		c.sent.Add(int64(wire.Send([][]byte{early}, false)))
+	}
+	if o, ok := c.owner.(Connector); ok {
+		o.Connected()
+	}
+	return true
+}
+
 // Came hands bytes that have come to the owner. It is called without the lock.
 func (c *Conn) Came(b []byte) {
 	c.engine.mu.Lock()
--- a/internal/sockets/kernel.go
+++ b/internal/sockets/kernel.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/netip"
-	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -25,15 +24,19 @@
 
 // kernel is the ground in service: the system's sockets under one poller, and its clock.
 type kernel struct {
-	engine *Engine
-	nb     *nbio.Engine
+	engine  *Engine
+	nb      *nbio.Engine
+	dials   context.Context // of the connects under way
+	noDials func()          // gives all of them up
 }
 
 func newKernel(descriptors int) *kernel {
 	logging.SetLevel(logging.LevelNone)
 	nbio.MaxOpenFiles = max(descriptors, 1024) * 2
 	// Edge triggered: with level triggers this poller spins on a connection that has become writable.
-	return &kernel{nb: nbio.NewEngine(nbio.Config{NPoller: 1, ReadBufferSize: readBuffer, EpollMod: nbio.EPOLLET})}
+	k := &kernel{nb: nbio.NewEngine(nbio.Config{NPoller: 1, ReadBufferSize: readBuffer, EpollMod: nbio.EPOLLET})}
+	k.dials, k.noDials = context.WithCancel(context.Background())
+	return k
 }
 
 // System is the kernel's ground for who needs no connections: its clock, calls by turns and datagrams.
@@ -74,6 +77,7 @@
 
 // Stop ends the poller. It may wait for a connection that came as it stopped: it is given a moment, no more.
 func (k *kernel) Stop() {
+	k.noDials()
 	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 	defer cancel()
 	_ = k.nb.Shutdown(ctx)
@@ -108,64 +112,32 @@
 		return nil, err
 	}
 	nb.SetSession(c)
-	return kernelWire{nb}, nil
-}
-
-func (k *kernel) Dial(address string, c *Conn) (Wire, error) {
-	raw, err := connect(address)
-	if err != nil {
-		return nil, err
-	}
-	w, err := k.tie(raw, c)
-	if err == nil {
-		_ = w.(kernelWire).nb.SetWriteBuffer(sendBuffer)
+	if c.accepted == nil {
+		_ = nb.SetWriteBuffer(sendBuffer)
 	}
-	return w, err
+	return kernelWire{nb}, nil
 }
 
-// connect begins a connect and does not wait for it. The poller's own way of doing this reads an IPv4 address
-// wrongly and gives no hold on a connect that hangs.
-func connect(address string) (net.Conn, error) {
+// Dial connects by the library's dialer, in a goroutine that ends with the connect. The poller's own way of doing this reads an
+// IPv4 address wrongly, takes a failed connect for a good one, and gives no hold on one that hangs.
+func (k *kernel) Dial(address string, c *Conn) (func(), error) {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, err
 	}
-	family, sa, from := syscall.AF_INET, syscall.Sockaddr(&syscall.SockaddrInet4{Port: int(to.Port())}),
-		syscall.Sockaddr(&syscall.SockaddrInet4{})
-	if ip := to.Addr().Unmap(); ip.Is4() {
-		sa.(*syscall.SockaddrInet4).Addr = ip.As4()
-	} else {
-		family, sa, from = syscall.AF_INET6, &syscall.SockaddrInet6{Port: int(to.Port()), Addr: ip.As16()},
-			&syscall.SockaddrInet6{}
-	}
-	fd, err := named(family, from)
-	if err != nil {
-		return nil, err
-	}
-	f := os.NewFile(uintptr(fd), address)
-	defer f.Close()
-	if err := syscall.Connect(fd, sa); err != nil && !errors.Is(err, syscall.EINPROGRESS) {
-		return nil, err
-	}
-	return net.FileConn(f)
-}
-
-// named makes a socket that has a local address before its connect is begun: wards off a platform that gives it one
-// only once the connection stands, which the library that takes the socket over refuses.
-func named(family int, from syscall.Sockaddr) (int, error) {
-	fd, err := syscall.Socket(family, syscall.SOCK_STREAM|syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return 0, err
-	}
-	// Without this a port would stay taken for a minute after its connection's end.
-	err = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
-	if err == nil {
-		err = syscall.Bind(fd, from)
-	}
-	if err != nil {
-		_ = syscall.Close(fd)
-	}
-	return fd, err
+	ctx, cancel := context.WithCancel(k.dials)
+	go func() {
+		defer cancel()
+		raw, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", to.String())
+		if err != nil {
+			c.Ended(err)
+			return
+		}
+		if !c.Established(func() (Wire, error) { return k.tie(raw, c) }) {
+			_ = raw.Close()
+		}
+	}()
+	return cancel, nil
 }
 
 // kernelWire is one of the poller's connections.
@@ -176,9 +148,20 @@
 func (w kernelWire) String() string { return fmt.Sprint(w.nb.RemoteAddr()) }
 
 func (w kernelWire) Waiting() bool {
+	n, err := w.peek()
+	return err == nil && n > 0
+}
+
+func (w kernelWire) Finished() bool {
+	n, err := w.peek()
+	return err == nil && n == 0
+}
+
+// peek looks at what has come and was not read; 0 without an error is the other side's end.
+func (w kernelWire) peek() (int, error) {
 	var b [1]byte
 	n, _, err := syscall.Recvfrom(w.nb.Hash(), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return err == nil && n > 0
+	return n, err
 }
 
 // Send writes gathered where nothing waits before. What the kernel does not take is copied and follows.
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -18,6 +18,12 @@
 	Closed(err error)    // once, unless the owner closed the connection itself
 }
 
+// Connector is the owner of a dialed connection that wants to know when it stands.
+type Connector interface {
+	Owner
+	Connected()
+}
+
 // ErrPanic ends a connection whose callback panicked.
 var ErrPanic = errors.New("panic in a callback")
 
@@ -60,6 +66,8 @@
 	queued   int64
 	sent     atomic.Int64 // taken by the kernel; the poller counts under a lock of its own
 	until    time.Time    // for the connect
+	cancel   func()       // gives the connect up; nil: none is under way
+	early    []byte       // given to Send before the connection stood
 	accepted func()       // hears that the connection no longer counts
 	over     bool
 }
@@ -142,13 +150,13 @@
 	now := e.Now()
 	c := &Conn{engine: e, owner: o, until: now.Add(limit)}
 	e.dialing = append(e.dialing, c)
-	wire, err := e.ground.Dial(address, c)
+	cancel, err := e.ground.Dial(address, c)
 	if err != nil {
 		e.log.WithError(err).WithField("address", address).Warn("sockets: no connect begun")
 		c.until = now // the next Beat tells the owner
 		return c
 	}
-	c.wire = wire
+	c.cancel = cancel
 	return c
 }
 
@@ -212,13 +220,23 @@
 // Close ends a connection without telling its owner.
 func (c *Conn) Close() {
 	c.over = true
-	if c.wire != nil {
+	switch {
+	case c.wire != nil:
 		c.wire.Close()
+	case c.cancel != nil:
+		c.cancel()
+		c.cancel = nil
 	}
 }
 
-// Up tells whether the connection has been seen to stand: the kernel takes bytes only then.
-func (c *Conn) Up() bool { return c.accepted != nil || c.Sent() > 0 }
+// Up tells whether the connection has come up.
+func (c *Conn) Up() bool { return c.wire != nil }
+
+// Drained tells whether the connection stands and the kernel has taken all that was sent: what is sent now goes out at once.
+func (c *Conn) Drained() bool { return c.wire != nil && c.queued == c.sent.Load() }
+
+// Finished tells whether the other side has ended its sending and all that it sent has been read.
+func (c *Conn) Finished() bool { return !c.over && c.wire != nil && c.wire.Finished() }
 
 // Waiting tells whether bytes have come that the poller has not read yet.
 func (c *Conn) Waiting() bool { return !c.over && c.wire != nil && c.wire.Waiting() }
@@ -232,9 +250,10 @@
 // Queued is how many bytes Send was given.
 func (c *Conn) Queued() int64 { return c.queued }
 
-// Send writes the parts one after another. What does not go out at once is copied and follows.
+// Send writes the parts one after another. What does not go out at once is copied and follows; so does all that is sent before a
+// dialed connection stands.
 func (c *Conn) Send(parts ...[]byte) {
-	if c.over || c.wire == nil {
+	if c.over {
 		return
 	}
 	size, full := 0, 0
@@ -247,6 +266,12 @@
 	}
 	waits := c.queued != c.sent.Load()
 	c.queued += int64(size)
+	if c.wire == nil {
+		for _, p := range parts[:full] {
+			c.early = append(c.early, p...)
+		}
+		return
+	}
 	c.engine.parts = append(c.engine.parts[:0], parts[:full]...)
 	if n := c.wire.Send(c.engine.parts, waits); n > 0 {
 		c.sent.Add(int64(n))
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -5,13 +5,14 @@
 	"errors"
 	"io"
 	"net"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/sirupsen/logrus"
 )
 
+const long = 10 * time.Second // only a hang lasts so long
+
 // party is an owner made of functions.
 type party struct {
 	data   func(b []byte) error
@@ -154,28 +155,82 @@
 	}
 }
 
-// A socket has a local address before its connect is begun. A platform that gives it one only once the connection stands
-// had every connect refused, and with them every visit.
-func TestNamedBeforeConnect(t *testing.T) {
-	for family, any := range map[int]syscall.Sockaddr{syscall.AF_INET: &syscall.SockaddrInet4{},
-		syscall.AF_INET6: &syscall.SockaddrInet6{}} {
-		fd, err := named(family, any)
-		if errors.Is(err, syscall.EAFNOSUPPORT) || errors.Is(err, syscall.EADDRNOTAVAIL) {
-			continue // a machine without this family
-		} else if err != nil {
-			t.Fatal(err)
+// dialer is a party that hears when its connection stands.
+type dialer struct {
+	party
+	connected func()
+}
+
+func (d *dialer) Connected() { d.connected() }
+
+// A dialed connection is handed over once it stands, with both of its addresses: a platform that names a socket only when its
+// connection stands had every connect refused by what took the socket over earlier. What was given to it before follows.
+func TestConnectedOnceItStands(t *testing.T) {
+	e := engine(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	stands := make(chan [2]net.Addr, 1)
+	over := false
+	d := &dialer{party: party{closed: func(err error) {
+		if !over {
+			t.Errorf("ended: %v", err)
 		}
-		name, err := syscall.Getsockname(fd)
-		_ = syscall.Close(fd)
-		port := 0
-		switch n := name.(type) {
-		case *syscall.SockaddrInet4:
-			port = n.Port
-		case *syscall.SockaddrInet6:
-			port = n.Port
+	}}}
+	e.Do(func() {
+		c := e.Dial(l.Addr().String(), 5*time.Second, d)
+		if c.Up() || c.Drained() {
+			t.Error("it stands before the connect has ended")
 		}
-		if err != nil || port == 0 {
-			t.Errorf("family %d: port %d before the connect, %v", family, port, err)
+		c.Send([]byte("ear"), []byte("ly"))
+		d.connected = func() {
+			w := c.Wire().(kernelWire)
+			if !c.Up() || !c.Drained() {
+				t.Errorf("up %v, drained %v when told", c.Up(), c.Drained())
+			}
+			stands <- [2]net.Addr{w.nb.LocalAddr(), w.nb.RemoteAddr()}
 		}
+	})
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	got := make([]byte, 5)
+	if _, err := io.ReadFull(conn, got); err != nil || string(got) != "early" {
+		t.Errorf("read %q, %v", got, err)
+	}
+	at := <-stands
+	e.Do(func() { over = true })
+	if at[0] == nil || at[1] == nil || at[0].String() != conn.RemoteAddr().String() || at[1].String() != conn.LocalAddr().String() {
+		t.Errorf("handed over as %v", at)
+	}
+}
+
+// A connect that is given up while it is under way never reaches its owner.
+func TestConnectGivenUp(t *testing.T) {
+	e := engine(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	d := &dialer{party: party{closed: func(err error) { t.Errorf("ended: %v", err) }}, connected: func() { t.Error("it was told") }}
+	e.Do(func() {
+		c := e.Dial(l.Addr().String(), 5*time.Second, d)
+		c.Send([]byte("never"))
+		c.Close()
+	})
+	_ = l.(*net.TCPListener).SetDeadline(time.Now().Add(time.Second))
+	conn, err := l.Accept()
+	if err != nil {
+		return // it was given up before the handshake
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(long))
+	if n, err := conn.Read(make([]byte, 1)); n > 0 || err == nil {
+		t.Errorf("%d bytes arrived, %v", n, err)
 	}
+	e.Do(func() {})
 }
--- a/internal/trips/trips.go
+++ b/internal/trips/trips.go
@@ -117,6 +117,9 @@
 	idle    time.Duration
 	ask     time.Duration // a cache that has said nothing for so long is asked whether it is there
 	words   [4][]byte
+	head    []byte // scratch for a request
+	fields  []byte
+	held    int // requests that are held back
 	end     End
 	probes  []probe
 	probed  uint64
@@ -146,9 +149,13 @@
 	asked   time.Time // a PING is out since
 }
 
+// trip is one attempt on a connection. Its request is held back until the connection can take it at once: until then the attempt can
+// be recalled, and nothing of it ever goes out.
 type trip struct {
 	ticket     Ticket
-	id         ID
+	get        Get
+	body       []byte
+	begun      bool
 	begin, end int64 // where its bytes lie in what the connection was given
 	set        time.Time
 }
@@ -166,7 +173,10 @@
 	heard  time.Time // last byte that came
 }
 
-var errStuck = errors.New("an answer that stopped midway")
+var (
+	errStuck   = errors.New("an answer that stopped midway")
+	errRetired = errors.New("the connection takes no more requests")
+)
 
 var lineEnd = []byte("\r\n")
 
@@ -203,9 +213,8 @@
 	for i := len(p.links) - 1; i >= 0; i-- {
 		l := p.links[i]
 		l.closed = true
-		if len(l.open) == 0 {
-			l.shut()
-		}
+		l.sendBack()
+		l.rest()
 	}
 }
 
@@ -218,22 +227,86 @@
 // Open counts the connections.
 func (y *Yard) Open() int { return y.open }
 
-// Send sets a request out. Where there is no way out at all, its end is told within the call.
-func (y *Yard) Send(t Ticket, c decide.CacheID, id ID, head, body []byte) {
+// Held counts the requests that are held back.
+func (y *Yard) Held() int { return y.held }
+
+// Send sets a request out, at once or as soon as its connection takes it. What get and body point to must stay as it is until the
+// attempt has ended. Where there is no way out at all, its end is told within the call.
+func (y *Yard) Send(t Ticket, c decide.CacheID, get *Get, body []byte) {
 	if int(c) >= len(y.pools) || y.pools[c] == nil {
 		y.host.Ended(t, &End{Fault: &Fault{Unconnected, errors.New("no address")}})
 		return
 	}
-	l := y.pools[c].pick(y, id)
+	l := y.pools[c].pick(y, get.ID)
 	if l == nil {
 		y.host.Ended(t, &End{Fault: &Fault{Unconnected, errors.New("no connection to be had")}})
 		return
 	}
-	begin := l.conn.Queued()
-	l.conn.Send(head, body, lineEnd)
 	l.used = y.engine.Now()
+	l.open = append(l.open, trip{ticket: t, get: *get, body: body, set: l.used})
+	y.held++
+	l.flush()
+}
+
+// Connected sends what waited for the connection.
+func (l *link) Connected() { l.flush() }
+
+// flush sends what is held back, in order, as far as the connection takes it at once.
+func (l *link) flush() {
+	for i := range l.open {
+		if !l.open[i].begun && l.conn.Drained() {
+			l.begin(&l.open[i])
+		}
+	}
+}
+
+// begin sends a request with what is left of its budget. One whose time is up stays back: its end is about to be told.
+func (l *link) begin(t *trip) {
+	y := l.yard
+	get := t.get
+	if get.Budget -= decide.Micros(y.engine.Now().Sub(t.set).Microseconds()); get.Budget <= 0 {
+		return
+	}
+	y.head, y.fields = AppendGet(y.head[:0], &get, len(t.body), y.fields)
+	t.begin = l.conn.Queued()
+	l.conn.Send(y.head, t.body, lineEnd)
 	// Without its line's end a request is not whole, but a cache that goes by lengths might take it for that.
-	l.open = append(l.open, trip{t, id, begin, l.conn.Queued() - int64(len(lineEnd)), l.used})
+	t.end = l.conn.Queued() - int64(len(lineEnd))
+	t.begun = true
+	y.held--
+}
+
+// Recall takes an attempt back if nothing of its request has gone out; nothing more is heard of it then.
+func (y *Yard) Recall(t Ticket, c decide.CacheID) bool {
+	l, i := y.find(t, c)
+	if l == nil || l.open[i].begun {
+		return false
+	}
+	l.giveBack(i)
+	return true
+}
+
+// giveBack drops a request that was held back. A connection that does not stand yet and that nobody waits for is given up.
+func (l *link) giveBack(i int) {
+	l.remove(i)
+	if l.rest(); len(l.open) == 0 && !l.conn.Up() && !l.closed {
+		l.shut()
+	}
+}
+
+// find finds an attempt that is open; nil: there is none.
+func (y *Yard) find(t Ticket, c decide.CacheID) (*link, int) {
+	if int(c) >= len(y.pools) || y.pools[c] == nil {
+		return nil, 0
+	}
+	for _, l := range y.pools[c].links {
+		for i := range l.open {
+			if l.open[i].ticket == t {
+				return l, i
+			}
+		}
+	}
+	return nil, 0
 }
 
 // Probe asks a cache whether it is there. The answer, or that none came in time, is told under the number given back; 0:
@@ -328,7 +401,7 @@
 // not be taken for its first.
 func (l *link) knows(id ID) bool {
 	for i := range l.open {
-		if l.open[i].id == id {
+		if l.open[i].get.ID == id {
 			return true
 		}
 	}
@@ -342,39 +415,51 @@
 
 // Drop gives a trip up and tells how far it has come, for good; nothing more is heard of it.
 func (y *Yard) Drop(t Ticket, c decide.CacheID) Reach {
-	if int(c) >= len(y.pools) || y.pools[c] == nil {
+	l, i := y.find(t, c)
+	if l == nil {
 		return Unconnected
 	}
-	for _, l := range y.pools[c].links {
-		for i := range l.open {
-			if l.open[i].ticket != t {
-				continue
-			}
-			o := l.open[i]
-			l.remove(i)
-			if len(l.open) == 0 && l.conn.Sent() < o.end {
-				// Closed first, measured then: what waits here must neither follow later nor slip out meanwhile.
-				l.shut()
-				return l.reach(&o)
-			}
-			reach := max(l.reach(&o), Sent) // on a connection that lives on, its bytes still go out
-			l.given = append(l.given, o.id)
-			// A connection that has said nothing all the while may be dead, and behind a part of an answer all others
-			// wait: it gets no more trips.
-			l.closed = l.closed || len(l.given) >= givenMost || l.heard.Before(o.set) || l.in.Len() > 0
-			l.conn.Send(resp.AppendWord(resp.AppendWord(resp.AppendArray(nil, 2), "DROP"), o.id[:]))
-			l.rest()
-			return reach
+	o := l.open[i]
+	if !o.begun {
+		reach := l.reach(&o)
+		l.giveBack(i)
+		return reach
+	}
+	l.remove(i)
+	if len(l.open) == 0 && l.conn.Sent() < o.end {
+		// Closed first, measured then: what waits here must neither follow later nor slip out meanwhile.
+		l.shut()
+		return l.reach(&o)
+	}
+	reach := max(l.reach(&o), Sent) // on a connection that lives on, its bytes still go out
+	l.given = append(l.given, o.get.ID)
+	// A connection that has said nothing all the while may be dead, and behind a part of an answer all others
+	// wait: it gets no more trips.
+	l.closed = l.closed || len(l.given) >= givenMost || l.heard.Before(o.set) || l.in.Len() > 0
+	l.conn.Send(resp.AppendWord(resp.AppendWord(resp.AppendArray(nil, 2), "DROP"), o.get.ID[:]))
+	l.sendBack()
+	l.rest()
+	return reach
+}
+
+// sendBack ends what a connection holds back that takes nothing more: none of it ever ran.
+func (l *link) sendBack() {
+	for i := 0; l.closed && i < len(l.open); {
+		if l.open[i].begun {
+			i++
+			continue
 		}
+		t := l.open[i].ticket
+		l.remove(i)
+		l.yard.host.Ended(t, &End{Fault: &Fault{Unsent, errRetired}})
 	}
-	return Unconnected
 }
 
 func (l *link) reach(t *trip) Reach {
 	switch sent := l.conn.Sent(); {
 	case !l.conn.Up():
 		return Unconnected
-	case sent <= t.begin:
+	case !t.begun || sent <= t.begin:
 		return Unsent
 	case sent < t.end:
 		return PartSent
@@ -384,7 +469,12 @@
 	return Sent
 }
 
-func (l *link) remove(i int) { l.open = append(l.open[:i], l.open[i+1:]...) }
+func (l *link) remove(i int) {
+	if !l.open[i].begun {
+		l.yard.held--
+	}
+	l.open = append(l.open[:i], l.open[i+1:]...)
+}
 
 // rest closes a connection that is to take no more trips, once it has none.
 func (l *link) rest() {
@@ -427,6 +517,11 @@
 		l.yard.shown(NotThere, l.yard.engine.Now(), func(p *probe) bool { return p.link == l })
 	}
 	open := l.open
+	for i := range open {
+		if !open[i].begun {
+			l.yard.held--
+		}
+	}
 	l.open = nil
 	l.leave()
 	for i, t := range open {
@@ -441,6 +536,7 @@
 	if err := l.in.Take(l.yard.engine, b, l); err != nil {
 		return err
 	}
+	l.flush()
 	l.rest()
 	return nil
 }
@@ -467,7 +563,7 @@
 		l.yard.shown(There, l.heard, func(p *probe) bool { return p.tag == string(words[0]) })
 	}
 	for i := range l.open {
-		if string(l.open[i].id[:]) != string(words[0]) {
+		if string(l.open[i].get.ID[:]) != string(words[0]) {
 			continue
 		}
 		t := l.open[i].ticket
@@ -499,7 +595,9 @@
 			continue
 		}
 		for i := len(p.links) - 1; i >= 0; i-- {
-			switch l := p.links[i]; {
+			l := p.links[i]
+			l.flush()
+			switch {
 			case l.in.Len() > 0 && now.Sub(l.heard) > y.ask: // wards off waiting behind an answer that never ends
 				l.conn.Fail(errStuck)
 			case l.conn.Up() && len(l.open) == 0 && now.Sub(l.used) > y.idle:
--- a/internal/trips/trips_test.go
+++ b/internal/trips/trips_test.go
@@ -40,13 +40,11 @@
 	return e, New(e, log, h, 4, each, 8, time.Second, time.Minute, time.Minute)
 }
 
-func request(n byte, size int) ([]byte, []byte) {
-	head, _ := AppendGet(nil, &Get{Case: "order", ID: id(n), Object: id(0), Budget: 1}, size, nil)
-	return head, make([]byte, size)
+func request(n byte, size int) (*Get, []byte) {
+	return &Get{Case: "order", ID: id(n), Object: id(0), Budget: 1_000_000}, make([]byte, size)
 }
 
-// Of a request that is given up while some of it still waits here, it is proved that it can't arrive, or it counts
-// as sent: bytes in the queue of a connection that lives on do go out.
+// Of a request that is given up while some of it still waits here, it is proved that it can't arrive: one behind another was held back.
 func TestDropBehindOthers(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -59,10 +57,10 @@
 	first, second := Ticket{Trip: 1}, Ticket{Trip: 2}
 	e.Do(func() {
 		y.Place(0, l.Addr().String(), false)
-		head, body := request(1, huge)
-		y.Send(first, 0, id(1), head, body)
-		head, body = request(2, 5)
-		y.Send(second, 0, id(2), head, body)
+		get, body := request(1, huge)
+		y.Send(first, 0, get, body)
+		get, body = request(2, 5)
+		y.Send(second, 0, get, body)
 	})
 	conn, err := l.Accept()
 	if err != nil {
@@ -73,7 +71,7 @@
 		t.Fatal(err)
 	}
 	e.Do(func() {
-		if reach := y.Drop(second, 0); reach != Sent {
+		if reach := y.Drop(second, 0); reach != Unsent {
 			t.Errorf("behind another request: %s", reaches[reach])
 		}
 		if reach := y.Drop(first, 0); reach != PartSent || y.Open() != 0 {
@@ -85,8 +83,8 @@
 	}
 	e.Do(func() { // a connection that does not stand yet: nothing may set out later
 		y.Place(1, "127.0.0.1:1", false)
-		head, body := request(3, 5)
-		y.Send(Ticket{Trip: 3}, 1, id(3), head, body)
+		get, body := request(3, 5)
+		y.Send(Ticket{Trip: 3}, 1, get, body)
 		if reach := y.Drop(Ticket{Trip: 3}, 1); reach != Unconnected || y.Open() != 0 {
 			t.Errorf("unconnected: %s, %d connections", reaches[reach], y.Open())
 		}
@@ -126,8 +124,8 @@
 	for i, c := range caches {
 		e.Do(func() {
 			y.Place(decide.CacheID(i), c.Address(), false)
-			head, body := request(byte(i), 0)
-			y.Send(Ticket{Trip: 10}, decide.CacheID(i), id(byte(i)), head, body)
+			get, body := request(byte(i), 0)
+			y.Send(Ticket{Trip: 10}, decide.CacheID(i), get, body)
 			delete(h, Ticket{Trip: 10})
 		})
 		ended(1)
@@ -140,10 +138,10 @@
 	}
 	e.Do(func() {
 		clear(h)
-		head, body := request(7, 0)
-		y.Send(Ticket{Trip: 1}, 4, id(7), head, body)
+		get, body := request(7, 0)
+		y.Send(Ticket{Trip: 1}, 4, get, body)
 		y.Drop(Ticket{Trip: 1}, 4)
-		y.Send(Ticket{Trip: 2}, 4, id(7), head, body)
+		y.Send(Ticket{Trip: 2}, 4, get, body)
 	})
 	ended(1)
 	gets := caches[4].Gets()
--- a/rules/events.go
+++ b/rules/events.go
@@ -62,7 +62,7 @@
 	Left                 // its client stopped waiting: Visit
 	Excused              // its connection ended by a fault that is not the router's: Visit
 	Dropped              // its connection ended, by the router: Visit
-	Came                 // a trip came whole: Visit, Router, Machine, Source, Trip, Sent: when its first byte was written
+	Came                 // a trip came whole: Visit, Router, Machine, Source, Trip, Sent: when its first byte was written, Budget: the deadline passed on
 	Ended                // it ended: Trip, Word, Made of the copy, Sent: when that was written, or its giving up
 	Ran                  // it had its effect: Visit, Trip, Machine
 	Filled               // a fill came to a machine: Machine, Router that it is for
@@ -94,6 +94,7 @@
 	Effect  Effect
 	Word    Word
 	Until   Micros
+	Budget  Micros
 	Sent    Micros
 	Made    Micros
 	Object  uint64
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -12,6 +12,8 @@
 	Grace    Micros // after a drain was told
 	Obey     Micros // after a purge was told
 	Slack    Micros // each time limit is longer by this
+	Begin    Micros // after a client has left, in which an attempt of its request may still begin
+	Spare    Micros // by so much the deadline passed on may be more than what the client has left
 	Lost     Micros // beyond its time, after which a visit without an answer is lost
 	Late     Micros // what the bulletin tells counts as told then, whether or not it came
 	Back     Micros // but not sooner than this after a router that got no turn, or was out of reach, is back
@@ -336,6 +338,14 @@
 	if v.answer != nil && e.Sent > v.answer.Sent {
 		w.breach(1, e.At, e.Visit, "a trip after the final answer", append(w.story(v), e)...)
 	}
+	if v.left != nil && e.Sent > v.left.At+w.terms.Begin+w.terms.Slack && !w.spared(w.router(e.Router), v.left.At) {
+		w.breach(1, e.At, e.Visit, fmt.Sprintf("an attempt began %.3fs after its client had left", (e.Sent-v.left.At).Seconds()),
+			append(w.story(v), *v.left, e)...)
+	}
+	if e.Sent+e.Budget > v.asked.Until+w.terms.Spare && !w.spared(w.router(e.Router), v.asked.At) {
+		w.breach(1, e.At, e.Visit, fmt.Sprintf("the deadline passed on is %.3fs past its client's", (e.Sent+e.Budget-v.asked.Until).Seconds()),
+			append(w.story(v), e)...)
+	}
 	for _, o := range v.trips {
 		if v.asked.Effect == Stamped && !(o.ended != nil && o.ended.Word == Unrun) && e.Sent > o.came.Sent+w.terms.Window+w.terms.Slack {
 			w.breach(2, e.At, e.Visit, "a stamped visit again after its window", append(w.story(v), e)...)
@@ -443,7 +453,7 @@
 	m.came = m.came[n:]
 	part := c.Least + (1-c.Least)*float64(age)/float64(c.Ramp)
 	may := c.Multiple * part * c.Bears * c.Window.Seconds()
-	if float64(len(m.came)) <= may+3*math.Sqrt(may)+3 {
+	if float64(len(m.came)) <= bears(may) {
 		return
 	}
 	m.fell = true
@@ -459,6 +469,16 @@
 	}
 }
 
+const fewCalls = 30 // below it, chance has more room
+
+// bears is how many calls a cold machine bears in its window where the settings allow it so many.
+func bears(may float64) float64 {
+	if may < fewCalls {
+		return may + 3*math.Sqrt(may) + 3
+	}
+	return may + 2*math.Sqrt(may) + 2
+}
+
 // story is the start, how it was listed, and what came in the window.
 func (m *machine) story(w *Watch) (all []Event) {
 	if m.listed > 0 {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -13,7 +13,7 @@
 )
 
 func terms() Terms {
-	return Terms{Grace: 500 * ms, Obey: 500 * ms, Slack: 50 * ms, Lost: 550 * ms, Late: 7 * s, Back: 3 * s, Window: 5 * s,
+	return Terms{Grace: 500 * ms, Obey: 500 * ms, Slack: 50 * ms, Begin: 100 * ms, Spare: 150 * ms, Lost: 550 * ms, Late: 7 * s, Back: 3 * s, Window: 5 * s,
 		Cold: map[Machine]Cold{2: {Least: 0.2, Ramp: 10 * s, Multiple: 3, Window: s, Bears: 10}}}
 }
 
@@ -25,6 +25,18 @@
 	return Event{At: at, What: Came, Visit: v, Router: 1, Trip: t, Machine: m, Source: source, Sent: at - ms}
 }
 
+// within is an attempt that passes a deadline on.
+func within(e Event, budget Micros) Event {
+	e.Budget = budget
+	return e
+}
+
+// patient is a request whose client waits longer than most.
+func patient(e Event) Event {
+	e.Until = e.At + 10*s
+	return e
+}
+
 func ended(at Micros, t Trip, w Word, made Micros) Event {
 	return Event{At: at, What: Ended, Trip: t, Word: w, Made: made, Sent: at}
 }
@@ -75,6 +87,14 @@
 		{"dropped by its death", 0, "", []Event{asked(s, 1, Harmless), {At: s + ms, What: Died, Router: 1}, {At: s + ms, What: Excused, Visit: 1}}},
 		{"left", 0, "", []Event{asked(s, 1, Harmless), {At: s + ms, What: Left, Visit: 1}}},
 		{"answered though left", 1, "had left", []Event{asked(s, 1, Harmless), {At: s + ms, What: Left, Visit: 1}, answered(s+99*ms, 1, Delivered)}},
+		{"an attempt though left", 1, "began", []Event{asked(s, 1, Harmless), {At: s + ms, What: Left, Visit: 1}, came(s+153*ms, 1, 1, 2, None)}},
+		{"a further one though left", 1, "began", []Event{asked(s, 1, Harmless), came(s+2*ms, 1, 1, 2, None), ended(s+3*ms, 1, Unrun, 0),
+			{At: s + 4*ms, What: Left, Visit: 1}, came(s+156*ms, 1, 2, 3, None)}},
+		{"it crossed the leaving", 0, "", []Event{asked(s, 1, Harmless), {At: s + ms, What: Left, Visit: 1}, came(s+151*ms, 1, 1, 2, None)}},
+		{"a deadline beyond the client's", 1, "deadline", []Event{asked(s, 1, Harmless), within(came(s+300*ms, 1, 1, 2, None), 1860*ms),
+			answered(s+400*ms, 1, Delivered)}},
+		{"a deadline that is the client's", 0, "", []Event{asked(s, 1, Harmless), within(came(s+300*ms, 1, 1, 2, None), 1850*ms),
+			answered(s+400*ms, 1, Delivered)}},
 		{"no turn", 0, "", []Event{asked(s, 1, Harmless), {At: s + ms, What: Halted, Router: 1}}},
 		{"late after no turn", 0, "", []Event{asked(s, 1, Harmless), {At: s + ms, What: Halted, Router: 1}, {At: 4 * s, What: Resumed, Router: 1},
 			answered(4*s+ms, 1, Scrapped)}},
@@ -97,8 +117,8 @@
 			{At: s + 30*ms, What: Came, Visit: 1, Router: 1, Trip: 1, Machine: 2, Source: None, Sent: s + ms}}},
 		{"an effect twice", 2, "twice", []Event{asked(s, 1, OneShot), came(s+ms, 1, 1, 2, None), {At: s + 2*ms, What: Ran, Visit: 1, Trip: 1},
 			{At: s + 3*ms, What: Ran, Visit: 1, Trip: 1}, ended(s+4*ms, 1, Delivered, 0), answered(s+20*ms, 1, Delivered)}},
-		{"stamped, too late", 2, "window", []Event{asked(s, 1, Stamped), came(s+ms, 1, 1, 2, None), ended(s+2*ms, 1, Silent, 0), {At: s + 3*ms, What: Left, Visit: 1},
-			came(7*s, 1, 2, 3, None)}},
+		{"stamped, too late", 2, "window", []Event{patient(asked(s, 1, Stamped)), came(s+ms, 1, 1, 2, None), ended(s+2*ms, 1, Silent, 0),
+			came(7*s, 1, 2, 3, None), answered(8*s, 1, Scrapped)}},
 		{"a drain", 3, "drains", []Event{drain, told, asked(11*s, 1, Harmless), came(11*s, 1, 1, 2, None), answered(11*s, 1, Delivered)}},
 		{"a source that drains", 3, "source", []Event{drain, told, asked(11*s, 1, Harmless), came(11*s, 1, 1, 3, 2), answered(11*s, 1, Delivered)}},
 		{"within the grace", 0, "", []Event{drain, told, asked(10*s+640*ms, 1, Harmless), came(10*s+640*ms, 1, 1, 2, None), answered(11*s, 1, Delivered)}},
