Deadlines and cancellations hold through stalls, keys and tenants go on, cold caches are spared by the fleet

Keyed requests. Both are read now (nonce, customer); the key goes on as uniq.

Sending times are now learned from hits, per object and class; with nothing known the whole expected time counts.

The fleet's sum at a cold cache. Where a router's part of a window is less than a request, an unused turn is now void after a tenth of the window, at a moment of the router's own.

The timer's lateness now bounds how long a request lay unread, which is taken off; after a stall of 25 ms an attempt begins only if neither a cancellation nor the connection's end lies unread. A request that comes with the end of its client's sending is answered at once as one that may be tried again.

Also: a broken message or one that stops midway ends its connection only after the requests read before have their answers and those have had 0.1 s to arrive; before, they were lost.

--- a/decide/api.go
+++ b/decide/api.go
@@ -19,7 +19,7 @@
 	GroupID int32
 	// UseCaseID is a place in the list of use cases.
 	UseCaseID int
-	// TenantID is a place in the list of tenants; -1 stands for none.
+	// TenantID is a place in the list of tenants, or NoTenant.
 	TenantID int
 	// ZoneID is a place in the list of zones.
 	ZoneID int32
@@ -29,8 +29,11 @@
 	TripNo int
 )
 
-// NoCache stands where no cache is meant.
-const NoCache CacheID = -1
+// NoCache stands where no cache is meant, and NoTenant where no tenant is.
+const (
+	NoCache  CacheID  = -1
+	NoTenant TenantID = -1
+)
 
 // Effect says what a repeat of a visit would do.
 type Effect uint8
--- /dev/null
+++ b/decide/cold_test.go
@@ -0,0 +1,102 @@
+package decide
+
+import (
+	"math"
+	"testing"
+)
+
+// bearable is how many requests a cold cache may get in its window where the settings allow it n.
+func bearable(n float64) float64 {
+	if n < 30 {
+		return n + 3*math.Sqrt(n) + 3
+	}
+	return n + 2*math.Sqrt(n) + 2
+}
+
+// Routers that know nothing of one another send a just-started cache no more than it bears in any window, two of them or 350, while
+// requests come steadily, and when many come at once after a silence: what each has not used meanwhile may not add up.
+func TestColdSumOfTheFleet(t *testing.T) {
+	cold := ColdStart{Least: 0.23, Multiple: 2, Ramp: 16 * second, Window: 1500 * ms}
+	listed := fleet()
+	const bears, work = 5.0, 0.25 // of the cache, a second; of a request
+	for _, size := range []int{2, 24, 350} {
+		for _, silence := range []Micros{0, second, 3 * second, 9 * second} {
+			routers := make([]*Router, size)
+			for i := range routers {
+				d := bench(plainLeave)
+				d.r.seed, d.r.branch.Crew, d.r.branch.Fleet = uint32(7919*i+1), size, size
+				d.r.cold, d.r.borne = [2]ColdStart{cold, cold}, [2]float64{bears / 2 / float64(size), bears / float64(size)} // edge caches: by weight
+				d.r.work[0] = work
+				x := listed[1]
+				x.Started, x.Weight = d.r.now, 2 // told: no further caution
+				d.list(x)
+				routers[i] = d.r
+			}
+			begun := routers[0].now
+			var sent []Micros
+			first := 0
+			for now := begun; now < begun+cold.Ramp; now += 10 * ms {
+				if quiet := now - begun - second; quiet > 0 && quiet < silence {
+					continue
+				}
+				for _, r := range routers {
+					r.Clock(now)
+					if c, v := &r.caches[1], (&visit{}); r.affords(c, v) {
+						c.bucket.Take(r.cost(v))
+						sent = append(sent, now)
+					}
+				}
+				for len(sent) > first && sent[first] <= now-cold.Window {
+					first++
+				}
+				part := cold.Least + (1-cold.Least)*float64(now-begun)/float64(cold.Ramp)
+				if n := cold.Multiple * part * bears * seconds(cold.Window) / work; float64(len(sent)-first) > bearable(n) {
+					t.Errorf("%d routers, silent for %v s: %d in a window of %.0f, %.1f s after the start", size, seconds(silence),
+						len(sent)-first, n, seconds(now-begun))
+					break
+				}
+			}
+			if got, may := float64(len(sent)), cold.Multiple*0.6*bears*seconds(cold.Ramp-silence)/work; got < may*0.4 {
+				t.Errorf("%d routers, silent for %v s: only %.0f of some %.0f", size, seconds(silence), got, may)
+			}
+		}
+	}
+}
+
+// Where clients tell no size, a request's sending time is what hits of its object took, else what those of its class take; with nothing
+// known it is the whole expected time. Taken for nothing, a just-started cache was sent hundreds of times what it bears.
+func TestSendingTimesWhereSizesAreUntold(t *testing.T) {
+	d := bench(plainLeave)
+	untold := func(object int) Asked {
+		a := video(object)
+		a.KB = 0
+		return a
+	}
+	work := func(object int) Micros {
+		v := d.r.visits.Get(d.arrive(untold(object)))
+		w := v.work
+		if v.aim-v.came != 500*ms+2*w {
+			t.Errorf("expected within %d ms of %d ms of sending", (v.aim-v.came)/ms, w/ms)
+		}
+		return w
+	}
+	if w := work(1); w != 500*ms || d.r.cost(&visit{}) != 0.5 {
+		t.Errorf("with nothing known: %d ms", w/ms)
+	}
+	d.end(0, Report{Ending: Delivered, Trace: Filled, Elapsed: 900 * ms})
+	if w := work(1); w != 500*ms {
+		t.Errorf("after a fill, which also takes the fetching: %d ms", w/ms)
+	}
+	d.end(0, Report{Ending: Delivered, Trace: Hit, Elapsed: 200 * ms})
+	if w := work(1); w != 200*ms {
+		t.Errorf("after a hit: %d ms", w/ms)
+	}
+	d.end(0, Report{Ending: Refused, Elapsed: ms})
+	if w := work(2); w != 200*ms {
+		t.Errorf("another object, by its class: %d ms", w/ms)
+	}
+	if a := d.arrive(video(1)); d.r.visits.Get(a).work != 100*ms {
+		t.Error("a size that is told goes first")
+	}
+	d.check(t)
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -39,6 +39,7 @@
 
 	cutHigh, cutLow = 8.0, 30.0 // of the typical gap: rank 3 below the first, rank 1 above the second
 
+	workTimed    = 0.3    // weight of one more time in an object's own
 	workMost     = 20.0   // times its expected time: the most that a visit's sending time counts in the mean
 	tripsMost    = 3      // one and up to two further ones
 	answerMargin = 4 * ms // a trip ends this long before the client's time is up
@@ -70,6 +71,7 @@
 	budgetRate              = 0.8       // of a cold cache's allowance, as a steady rate
 	budgetBlind             = 0.7       // of that where many routers each have a burst and sizes are not told
 	budgetBurst             = 0.2       // of one window's allowance, at once
+	budgetKeeps             = 0.1       // of one window, for which a router's turn holds where that is less than a request
 	budgetFloor             = 2.0       // work a second that a warm one is taken to bear where nothing is known
 	bearWeight, bearForgets = 0.05, 0.2 // of that weight for less than before
 
@@ -221,8 +223,11 @@
 func (r *Router) prepare(v *visit) {
 	use := &r.cases[v.UseCase]
 	v.Write, v.key, v.ranAt = v.Write || use.Write, mix.Pair(uint64(v.Object), uint64(v.Part)), NoCache
-	if v.work = micros(r.work[v.UseCase]); r.branch.PaceKB > 0 && v.KB > 0 {
+	v.work = micros(r.meanWork(v.UseCase))
+	if r.branch.PaceKB > 0 && v.KB > 0 {
 		v.work = micros(v.KB / r.branch.PaceKB)
+	} else if o := r.ledger.objects.Peek(v.key); o != nil && o.work > 0 {
+		v.work = micros(o.work)
 	}
 	v.came, v.ends = r.now, r.now+v.Left-answerMargin
 	v.aim = min(r.now+use.Expected+Micros(use.Stretch*float64(v.work)), v.ends)
@@ -267,6 +272,7 @@
 		v.ran, v.ranSince, v.ranAt = true, t.sent, t.cache
 	}
 	r.observe(v, t, rep)
+	r.timed(v, rep)
 	r.learn(v, t, rep)
 	if rep.Over && v.move(Answered) || v.state == Answered {
 		r.release(v)
@@ -626,12 +632,48 @@
 	if c.Weight == 1 && float64(r.branch.Crew) > few { // its size is not told: it may be the smallest
 		rate *= budgetBlind
 	}
-	brim := math.Max(rate*seconds(s.Window)*budgetBurst, r.cost(v))
-	return c.bucket.Fill(seconds(r.now), rate*budgetRate, brim) >= r.cost(v)
+	cost, now := r.cost(v), seconds(r.now)
+	if burst := rate * seconds(s.Window) * budgetBurst; burst >= cost {
+		return c.bucket.Fill(now, rate*budgetRate, burst) >= cost
+	}
+	// Many routers have less than one request each at a time. What one does not use within a moment is void, at a moment
+	// of its own: else all of them would have one in hand after a silence, and send it at once.
+	held := c.bucket.Fill(now, rate*budgetRate, math.Inf(1))
+	if held < cost {
+		return false
+	}
+	since := math.Mod(held, cost)
+	c.bucket.Take(held - since)
+	if since > rate*budgetRate*seconds(s.Window)*budgetKeeps {
+		return false
+	}
+	c.bucket.Take(-cost)
+	return true
 }
 
 // cost is a visit's weight in a cold budget: its use case's mean sending time.
-func (r *Router) cost(v *visit) float64 { return math.Max(r.work[v.UseCase], 0.001) }
+func (r *Router) cost(v *visit) float64 { return math.Max(r.meanWork(v.UseCase), 0.001) }
+
+// meanWork is the mean sending time of a use case in seconds. Until one is known it is the whole expected time: too
+// much rather than too little, as it is what a just-started cache is spared.
+func (r *Router) meanWork(use UseCaseID) float64 {
+	if r.work[use] > 0 {
+		return r.work[use]
+	}
+	return seconds(r.cases[use].Expected)
+}
+
+// timed learns the sending time of what came without a fill, where the client told no size.
+func (r *Router) timed(v *visit, rep Report) {
+	if v.KB > 0 && r.branch.PaceKB > 0 || rep.Ending != Delivered || rep.Trace.IsFill() || rep.Trace == Joined {
+		return
+	}
+	took := seconds(rep.Elapsed)
+	smooth(&r.work[v.UseCase], took, theta)
+	if o := r.ledger.objects.Peek(v.key); o != nil {
+		smooth(&o.work, took, workTimed)
+	}
+}
 
 // observe takes what a trip's end says of its cache and source.
 func (r *Router) observe(v *visit, t *trip, rep Report) {
--- a/decide/state.go
+++ b/decide/state.go
@@ -106,6 +106,7 @@
 	run       Micros  // that cache's start
 	keptAt    Micros
 	timer     Micros
+	work      float64 // its own sending time in seconds, where clients tell no size; 0: not known
 }
 
 // ledger is what is learned of the objects.
--- a/internal/deployment/site.go
+++ b/internal/deployment/site.go
@@ -30,12 +30,12 @@
 	return id, ok
 }
 
-// Tenant finds a tenant by its name; -1 stands for none.
+// Tenant finds a tenant by its name; NoTenant stands for one that the settings do not name.
 func (n *Names) Tenant(name []byte) decide.TenantID {
 	if id, ok := n.byTenant[string(name)]; ok {
 		return id
 	}
-	return -1
+	return decide.NoTenant
 }
 
 // Zone finds a zone by its name; -1 stands for one that the settings do not name.
--- a/internal/drill/apply.go
+++ b/internal/drill/apply.go
@@ -108,9 +108,13 @@
 		if done = !h.Away(); done {
 			h.Gone(true)
 			r.spare(1)
+			r.parted(rules.Parted)
 			after(func() {
 				h.Gone(false)
-				d.w.At(d.w.Now()+tail, func() { r.spare(-1) })
+				d.w.At(d.w.Now()+tail, func() {
+					r.parted(rules.Rejoined)
+					r.spare(-1)
+				})
 			})
 		}
 	case faults.Slow:
@@ -221,6 +225,13 @@
 	}
 }
 
+// parted tells the rules that a router's network goes or is back.
+func (r *router) parted(what rules.What) {
+	if r != nil {
+		r.d.tell(rules.Event{What: what, Router: r.id()})
+	}
+}
+
 func (m *machine) list(state string) {
 	m.d.board.roster(false, []string{m.line(state)}, []rules.Event{{What: rules.Listed, Machine: m.id, Open: state == "up", Made: m.boot}})
 }
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -117,6 +117,19 @@
 9s origin slow x10 for 5s
 9.5s cache-3 slow x8 for 6s`, "leave: left"},
 		{"clients that leave while connects come up late", lateConnects() + "8s clients leave x0.9 for 12s\n", "leave+narrow: left"},
+		{"clients that leave while routers get no turn", `8s clients leave x0.9 for 12s
+8.2s router-0 stops for 0.4s
+8.9s router-1 stops for 0.4s
+9.5s router-2 stops for 0.4s
+10.1s router-0 stops for 0.3s
+10.7s router-1 stops for 0.5s
+11.5s router-2 stops for 0.3s
+12s cache-1 refuses for 5s
+12.2s cache-2 refuses for 5s
+12.4s cache-4 refuses for 5s
+12.9s router-0 stops for 0.4s
+13.7s router-1 stops for 0.4s
+14.6s router-2 stops for 0.4s`, "leave+stops router: left"},
 		{"a holder of duties that dies", `8s router-0 stops for 2s
 8.2s router-1 dies for 2s
 8.4s cache-2 dies for 3s
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,6 +17,8 @@
 	Patience decide.Micros
 	KB       float64
 	Have     []byte // tag of a copy that the client holds
+	Key      []byte // by which repeats of a keyed request are dropped; goes on unchanged
+	Tenant   decide.TenantID
 	Body     []byte
 	Behind   bool          // background work, not a client's: see decide.Asked
 	Gap      decide.Micros // with that
@@ -28,12 +30,16 @@
 	Defer(no uint64, comeback decide.Micros) // 0: the client is not told when to come back
 	Scrap(no uint64)
 	Assigned(no uint64, v decide.VisitID) // the router's name for the visit
+	// Gone tells whether the client has cancelled a request, or closed its connection, in what has come from it and was not read yet.
+	Gone(no uint64) bool
 }
 
 // Visits is what a front hands its visits to.
 type Visits interface {
 	Ready() bool // false before the start and at the end
 	UseCase(name []byte) (decide.UseCaseID, bool)
+	Tenant(name []byte) decide.TenantID
 	Arrive(from Client, no uint64, ask *Ask) bool // false: its mark is that of a visit in hand, and it is not taken
 	Left(v decide.VisitID)
+	Stalled() bool // the router got no turn for long: what it reads now may be old, and what follows it may have come as well
 }
--- a/internal/front/rpc.go
+++ b/internal/front/rpc.go
@@ -32,6 +32,7 @@
 	ask     Ask
 	head    []byte
 	tail    []byte
+	peeked  []byte
 }
 
 // NewRPC makes the front. A client is cut off that leaves more than backlog bytes unread or reads nothing for the idle
@@ -101,7 +102,10 @@
 		case unread > f.backlog || now.Sub(c.moved) > f.idle:
 			c.conn.Fail(errUnread)
 			continue
-		case !c.since.IsZero() && now.Sub(c.since) > sayWithin:
+		case c.ending != nil && c.settled(now):
+			c.conn.Fail(c.ending)
+			continue
+		case !c.since.IsZero() && now.Sub(c.since) > sayWithin && c.settled(now):
 			c.conn.Fail(errSilent)
 			continue
 		case len(c.open) == 0 && unread == 0 && now.Sub(c.used) > f.idle && !c.conn.Waiting():
@@ -132,16 +136,28 @@
 
 // caller is one client's connection.
 type caller struct {
-	front *RPC
-	conn  *sockets.Conn
-	in    sockets.Inbox
-	open  []asked
-	said  bool      // a whole message, in what has just come
-	last  uint64    // number given to a request
-	used  time.Time // last request
-	since time.Time // it owes the rest of a request since, or its first; zero: it owes none
-	moved time.Time // last time that the client read, or had nothing to read
-	sent  int64
+	front   *RPC
+	conn    *sockets.Conn
+	in      sockets.Inbox
+	open    []asked
+	said    bool      // a whole message, in what has just come
+	after   []byte    // what has come behind the message that is being read
+	reading bool      // messages are being read
+	last    uint64    // number given to a request
+	used    time.Time // last request
+	since   time.Time // it owes the rest of a request since, or its first; zero: it owes none
+	moved   time.Time // last time that the client read, or had nothing to read
+	sent    int64
+
+	finished bool      // the client has ended its sending with what is being read
+	answered time.Time // last answer
+	ending   error     // what the connection ends for once nothing is owed on it; nothing is read on it any more
+}
+
+// settled tells whether nothing is owed on the connection and the last answer has had time to arrive: ending it sooner could meet
+// bytes that lie unread with a reset, which takes what is still on its way along.
+func (c *caller) settled(now time.Time) bool {
+	return len(c.open) == 0 && c.unread() == 0 && now.Sub(c.answered) >= arriveWithin
 }
 
 func (c *caller) unread() int { return int(c.conn.Queued() - c.conn.Sent()) }
@@ -158,10 +174,19 @@
 	bodyMost    = 48_000
 	spareOf     = 4096 // a request without a body is shorter
 	openMost    = 32
+	peekMost    = 1 << 16
 	tagMost     = 64
 	sayWithin   = 2500 * time.Millisecond // a request begun is whole, and the first one has come
-	tellEvery   = time.Second
-	peeksMost   = 8
+
+	arriveWithin = 100 * time.Millisecond // an answer has arrived
+	tellEvery    = time.Second
+	peeksMost    = 8
+)
+
+// Kinds of MessagePack-RPC messages.
+const (
+	kindRequest      = 0
+	kindNotification = 2
 )
 
 var (
@@ -184,11 +209,29 @@
 
 // Data takes requests, whole ones in place.
 func (c *caller) Data(b []byte) error {
-	c.used = c.front.engine.Now()
+	if c.ending != nil {
+		return nil
+	}
 	c.front.held -= c.in.Len()
-	defer func() { c.front.held += c.in.Len() }()
-	c.said = false
-	if err := c.in.Take(c.front.engine, b, c); err != nil {
+	err := c.take(b)
+	if err != nil {
+		c.in.Drop(c.front.engine)
+	}
+	c.front.held += c.in.Len()
+	if err != nil && !c.settled(c.used) { // what was read before still gets its answer
+		c.ending = err
+		return nil
+	}
+	return err
+}
+
+func (c *caller) take(b []byte) error {
+	c.used, c.said = c.front.engine.Now(), false
+	c.finished = c.conn.Finished()
+	c.reading = true
+	err := c.in.Take(c.front.engine, b, c)
+	c.reading = false
+	if err != nil {
 		return err
 	}
 	switch { // bytes alone buy no time: wards off clients that say a request drop by drop
@@ -212,8 +255,10 @@
 	if err != nil {
 		return 0, err
 	}
-	c.said = true
-	return n, c.message(b[:n])
+	c.said, c.after = true, b[n:]
+	err = c.message(b[:n])
+	c.after = nil
+	return n, err
 }
 
 func (c *caller) message(b []byte) error {
@@ -223,14 +268,13 @@
 	switch {
 	case r.Err() != nil:
 		return errNotRPC
-	case kind == 2 && n == 3:
-		if string(r.Bytes()) == "giveUp" && r.Array() >= 1 {
-			if id := r.Uint(); r.Err() == nil {
-				c.gaveUp(id)
-			}
+	case kind == kindNotification && n == 3:
+		again := msgpack.Read(b)
+		if id, ok := cancellation(&again); ok {
+			c.gaveUp(id)
 		}
 		return nil // other notifications are nobody's
-	case kind != 0 || n != 4:
+	case kind != kindRequest || n != 4:
 		return errNotRPC
 	}
 	id := r.Uint()
@@ -251,6 +295,13 @@
 		c.probed(id)
 		return nil
 	}
+	if c.front.visits.Stalled() && c.cancelled(id) {
+		return nil // nothing is owed any more
+	}
+	if c.finished { // none of it has gone anywhere, and no attempt may begin for a client that may be gone
+		c.fault(id, "Shed", "why", "")
+		return nil
+	}
 	ask := &c.front.ask
 	*ask = Ask{}
 	err := c.read(&r, method, ask)
@@ -276,8 +327,8 @@
 	return nil
 }
 
-// fieldBits are the fields that count, each with its bit; others are passed over. All but size and ver are needed.
-var fieldBits = map[string]int{"trace": 1, "entity": 2, "piece": 4, "lot": 8, "patience": 16, "size": 32, "ver": 64}
+// fieldBits are the fields that count, each with its bit; others are passed over. The first five are needed.
+var fieldBits = map[string]int{"trace": 1, "entity": 2, "piece": 4, "lot": 8, "patience": 16, "size": 32, "ver": 64, "nonce": 128, "customer": 256}
 
 const needed = 1 | 2 | 4 | 8 | 16
 
@@ -287,7 +338,7 @@
 	if !ok {
 		return errUseCase
 	}
-	a.Case = use
+	a.Case, a.Tenant = use, decide.NoTenant
 	args := r.Array()
 	if r.Err() != nil || args < 1 {
 		return errMissing
@@ -328,6 +379,11 @@
 		case "ver":
 			ok = word(value)
 			a.Have = value
+		case "nonce":
+			ok = word(value)
+			a.Key = value
+		case "customer":
+			a.Tenant = c.front.visits.Tenant(value)
 		}
 		if !ok {
 			return errField
@@ -357,6 +413,58 @@
 	return nil
 }
 
+// Gone tells whether the client has cancelled a request, or closed its connection, in what was not read yet.
+func (c *caller) Gone(no uint64) bool {
+	for i := range c.open {
+		if c.open[i].no == no {
+			return c.cancelled(c.open[i].id)
+		}
+	}
+	return false
+}
+
+// cancelled looks at what lies unread for a cancellation of a request, or the connection's end.
+func (c *caller) cancelled(id uint64) bool {
+	f := c.front
+	if f.peeked == nil {
+		f.peeked = make([]byte, peekMost)
+	}
+	n, ended := c.conn.Peek(f.peeked)
+	before := c.in.Held()
+	if c.reading {
+		before = c.after
+	}
+	if len(before) == 0 {
+		return ended || cancels(f.peeked[:n], id)
+	}
+	return ended || cancels(append(append([]byte(nil), before...), f.peeked[:n]...), id)
+}
+
+// cancels tells whether one of the whole messages in b cancels a request.
+func cancels(b []byte, id uint64) bool {
+	for len(b) > 0 {
+		n, err := msgpack.Size(b, messageMost)
+		if err != nil || n == 0 {
+			return false
+		}
+		r := msgpack.Read(b[:n])
+		if of, ok := cancellation(&r); ok && of == id {
+			return true
+		}
+		b = b[n:]
+	}
+	return false
+}
+
+// cancellation reads a message that cancels a request.
+func cancellation(r *msgpack.Reader) (id uint64, ok bool) {
+	if r.Array() != 3 || r.Uint() != kindNotification || string(r.Bytes()) != "giveUp" || r.Array() < 1 {
+		return 0, false
+	}
+	id = r.Uint()
+	return id, r.Err() == nil
+}
+
 // gaveUp ends what is owed for one request.
 func (c *caller) gaveUp(id uint64) {
 	for i := range c.open {
@@ -447,7 +555,7 @@
 	if unchanged {
 		f.tail = msgpack.AppendStr(msgpack.AppendStr(f.tail, "unchanged"), "1")
 	}
-	c.conn.Send(f.head, body, f.tail)
+	c.answer(f.head, body, f.tail)
 }
 
 // Defer tells the client that trying again is harmless, and when to, in milliseconds.
@@ -482,7 +590,13 @@
 		h = msgpack.AppendStr(msgpack.AppendStr(msgpack.AppendMap(h, 1), field), value)
 	}
 	f.head = msgpack.AppendNil(h)
-	c.conn.Send(f.head)
+	c.answer(f.head)
+}
+
+// answer writes an answer.
+func (c *caller) answer(parts ...[]byte) {
+	c.answered = c.front.engine.Now()
+	c.conn.Send(parts...)
 }
 
 func (c *caller) probed(id uint64) {
@@ -490,7 +604,7 @@
 	h := msgpack.AppendNil(msgpack.AppendUint(msgpack.AppendUint(msgpack.AppendArray(f.head[:0], 4), 1), id))
 	h = msgpack.AppendBool(msgpack.AppendArray(h, 2), f.visits.Ready())
 	f.head = msgpack.AppendMap(h, 0)
-	c.conn.Send(f.head)
+	c.answer(f.head)
 }
 
 func copyMark(m *Mark, b []byte) bool {
--- a/internal/front/rpc_test.go
+++ b/internal/front/rpc_test.go
@@ -17,11 +17,13 @@
 // desk takes visits and answers none.
 type desk struct {
 	taken, left int
+	stalled     bool
 	first       Client
 }
 
 func (d *desk) Ready() bool                             { return true }
 func (d *desk) UseCase([]byte) (decide.UseCaseID, bool) { return 0, true }
+func (d *desk) Tenant([]byte) decide.TenantID           { return decide.NoTenant }
 func (d *desk) Arrive(c Client, _ uint64, _ *Ask) bool {
 	if d.taken++; d.first == nil {
 		d.first = c
@@ -29,6 +31,7 @@
 	return true
 }
 func (d *desk) Left(decide.VisitID) { d.left++ }
+func (d *desk) Stalled() bool       { return d.stalled }
 
 // open starts a front of 100 clients, with room for so many of their bytes.
 func open(t *testing.T, d *desk, room int) (e *sockets.Engine, rpc *RPC, door string) {
@@ -95,6 +98,18 @@
 		t.Errorf("%d of 4 left too early", held)
 	}
 	beat(sayWithin + time.Millisecond)
+	e.Do(func() {
+		held = len(rpc.conns)
+		for c := range rpc.conns { // the one that has asked and owes the rest of a request is ended once it has its answer
+			if c.in.Len() > 0 && len(c.open) == 1 {
+				c.Defer(c.open[0].no, 0)
+			}
+		}
+	})
+	if held != 2 {
+		t.Errorf("%d left, not the two that have asked", held)
+	}
+	beat(sayWithin + time.Millisecond)
 	for i, c := range clients[:3] {
 		select {
 		case <-c.Ended():
@@ -135,10 +150,9 @@
 	whole := standin.Request(1, "page", standin.Visit(1, "00000000000000aa", time.Second), nil)
 	var first, second bool
 	e.Do(func() {
-		clients[2].Write(whole) // the poller has read it and waits for the lock
-		for callers[2].conn.Waiting() || !second {
-			time.Sleep(20 * time.Millisecond)
-			second = true
+		clients[2].Write(whole) // the poller is about to hand it on, and waits for the lock
+		for i := 0; i < 5000 && !callers[2].conn.Waiting(); i++ {
+			time.Sleep(time.Millisecond)
 		}
 		clients[0].Write(whole)
 		for i := 0; i < 5000 && !callers[0].conn.Waiting(); i++ {
@@ -221,3 +235,125 @@
 		}
 	})
 }
+
+// until waits for something that is to come about under the lock.
+func until(t *testing.T, e *sockets.Engine, what string, f func() bool) {
+	t.Helper()
+	for i := 0; ; i++ {
+		done := false
+		if e.Do(func() { done = f() }); done {
+			return
+		}
+		if i > 5000 {
+			t.Fatal(what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A request that was read gets its answer, though what follows it on its connection is no message. The connection ends once the
+// answer has had time to arrive, and nothing behind the broken message counts.
+func TestAnsweredBeforeABrokenConnectionEnds(t *testing.T) {
+	d := &desk{}
+	e, rpc, door := open(t, d, 1<<20)
+	defer e.Stop()
+	client, err := standin.Connect(door)
+	if err != nil {
+		t.Fatal(err)
+	}
+	no, answer := client.Ask("page", standin.Visit(1, "00000000000000aa", time.Second), nil)
+	client.Write([]byte{0xc1, 0xff, 0x00})
+	client.Write(standin.Request(no+1, "page", standin.Visit(2, "00000000000000aa", time.Second), nil))
+	var c *caller
+	until(t, e, "the broken message was not read", func() bool {
+		for c = range rpc.conns {
+		}
+		return c != nil && c.ending != nil
+	})
+	e.Do(func() {
+		rpc.Beat(time.Now().Add(time.Second))
+		if len(rpc.conns) != 1 || d.left != 0 {
+			t.Error("it ended with a request that is owed its answer")
+		}
+		d.first.Defer(1, 0)
+		rpc.Beat(time.Now())
+		if len(rpc.conns) != 1 {
+			t.Error("it ended before its answer can have arrived")
+		}
+	})
+	if a := <-answer; a.Error != "Shed" {
+		t.Errorf("answered %q", a.Error)
+	}
+	e.Do(func() { rpc.Beat(time.Now().Add(arriveWithin)) })
+	select {
+	case <-client.Ended():
+	case <-time.After(10 * time.Second):
+		t.Fatal("it holds its place")
+	}
+	if d.taken != 1 {
+		t.Errorf("%d taken", d.taken)
+	}
+}
+
+// A client that shuts down its sending side behind a request is told at once that trying again is harmless: it may have closed, and no
+// attempt may begin for one that has.
+func TestHalfClosedBehindARequest(t *testing.T) {
+	d := &desk{}
+	e, _, door := open(t, d, 1<<20)
+	defer e.Stop()
+	conn, err := net.Dial("tcp", door)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	e.Do(func() { // nothing is read meanwhile
+		_, _ = conn.Write(standin.Request(1, "page", standin.Visit(1, "00000000000000aa", time.Second), nil))
+		_ = conn.(*net.TCPConn).CloseWrite()
+	})
+	got, err := io.ReadAll(conn)
+	if err != nil || !strings.Contains(string(got), "Shed") {
+		t.Errorf("read %q, %v", got, err)
+	}
+	if e.Do(func() {}); d.taken != 0 {
+		t.Error("it was taken")
+	}
+}
+
+// After a stall, a request whose cancellation lies behind it is not taken, and one whose does not is.
+func TestCancelledWhileUnread(t *testing.T) {
+	d := &desk{stalled: true}
+	e, rpc, door := open(t, d, 1<<20)
+	defer e.Stop()
+	conn, err := net.Dial("tcp", door)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	one, two := standin.Request(1, "page", standin.Visit(1, "00000000000000aa", time.Second), nil), standin.Request(2, "page",
+		standin.Visit(2, "00000000000000aa", time.Second), nil)
+	cancel := []byte("\x93\x02\xa6giveUp\x91\x01")
+	e.Do(func() { _, _ = conn.Write(append(append(one, two...), cancel...)) })
+	until(t, e, "nothing was taken", func() bool { return d.taken > 0 })
+	var c *caller
+	until(t, e, "not read", func() bool {
+		for c = range rpc.conns {
+		}
+		return !c.conn.Waiting()
+	})
+	e.Do(func() {
+		if d.taken != 1 || len(c.open) != 1 || c.open[0].id != 2 {
+			t.Errorf("%d taken, %+v open", d.taken, c.open)
+		}
+		if c.Gone(c.open[0].no) {
+			t.Error("the other one is taken for cancelled")
+		}
+		cancel[len(cancel)-1] = 2
+		_, _ = conn.Write(cancel)
+		for i := 0; i < 5000 && !c.conn.Waiting(); i++ {
+			time.Sleep(time.Millisecond)
+		}
+		if !c.Gone(c.open[0].no) || d.left != 0 {
+			t.Error("a cancellation that lies unread is not seen")
+		}
+	})
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -42,6 +42,8 @@
 	alarms  alarms
 	turns   sockets.Turns           // the one timer
 	armed   decide.Micros           // what it waits for
+	behind  decide.Micros           // by so much its last call came late
+	gone    []decide.VisitID        // whose clients were found to have gone; told to the module at the end of the callback
 	marks   map[front.Mark]struct{} // of the visits in hand
 	caches  map[string]decide.CacheID
 	listed  []cache // by CacheID
@@ -95,7 +97,9 @@
 
 const (
 	beatEvery = 20 * time.Millisecond
-	setLeast  = 100 * time.Millisecond // a clock that is slewed moves less between two lines than is worth one
+
+	stallLeast = 25_000                 // microseconds without a turn, from which on a client may have left in what was not read
+	setLeast   = 100 * time.Millisecond // a clock that is slewed moves less between two lines than is worth one
 )
 
 // New makes a service that is not yet running; Attach is to follow.
@@ -149,7 +153,11 @@
 
 // turn is one call of the timer; it gives the span until the next.
 func (s *Service) turn() (span time.Duration) {
-	s.engine.Do(s.ring)
+	s.engine.Do(func() {
+		s.behind = 0
+		s.behind = s.unread()
+		s.ring()
+	})
 	if plant == plantDrain {
 		s.engine.Do(s.plantedDrains)
 	}
@@ -177,6 +185,18 @@
 	return span
 }
 
+// unread is how long what is read now may have lain unread at most, as far as it can be known: while the timer got no turn, nothing
+// else did.
+func (s *Service) unread() decide.Micros {
+	if s.armed == 0 {
+		return 0
+	}
+	return max(s.behind, s.clock()-s.armed, 0)
+}
+
+// Stalled tells whether the router has just had no turn for long.
+func (s *Service) Stalled() bool { return s.unread() >= stallLeast }
+
 // ring does what is due.
 func (s *Service) ring() {
 	s.enter()
@@ -206,7 +226,13 @@
 
 // settle tells the module of the ends that have come together, and of those that this brings.
 func (s *Service) settle() {
-	for s.told < len(s.ends) {
+	for s.told < len(s.ends) || len(s.gone) > 0 {
+		if n := len(s.gone); n > 0 {
+			v := s.gone[n-1]
+			s.gone = s.gone[:n-1]
+			s.Left(v)
+			continue
+		}
 		e := s.ends[s.told]
 		s.told++
 		s.tell(e)
@@ -258,9 +284,12 @@
 // UseCase finds a use case by its name.
 func (s *Service) UseCase(name []byte) (decide.UseCaseID, bool) { return s.names.UseCase(name) }
 
+// Tenant finds a tenant by its name.
+func (s *Service) Tenant(name []byte) decide.TenantID { return s.names.Tenant(name) }
+
 func asked(ask *front.Ask) decide.Asked {
 	return decide.Asked{UseCase: ask.Case, Object: decide.ObjectID(mix.Name(string(ask.Object[:]))), Part: ask.Part,
-		Group: ask.Group, Tenant: -1, Left: ask.Patience, KB: ask.KB, Behind: ask.Behind, Gap: ask.Gap}
+		Group: ask.Group, Tenant: ask.Tenant, Left: ask.Patience, KB: ask.KB, Behind: ask.Behind, Gap: ask.Gap}
 }
 
 // Arrive takes a visit from a front. One that bears the mark of a visit in hand is not taken: caches know visits by
@@ -271,13 +300,18 @@
 	}
 	p := &s.parked
 	*p = charge{client: from, no: no, ask: *ask}
-	if n := len(ask.Body) + len(ask.Have); n > 0 {
-		p.bytes = append(append(s.engine.Buffer(n), ask.Body...), ask.Have...)
-		p.ask.Body, p.ask.Have = p.bytes[:len(ask.Body)], p.bytes[len(ask.Body):]
+	if n := len(ask.Body) + len(ask.Have) + len(ask.Key); n > 0 {
+		p.bytes = append(append(append(s.engine.Buffer(n), ask.Body...), ask.Have...), ask.Key...)
+		rest := p.bytes[len(ask.Body):]
+		p.ask.Body, p.ask.Have, p.ask.Key = p.bytes[:len(ask.Body)], rest[:len(ask.Have)], rest[len(ask.Have):]
 	}
 	s.arrived = p
 	s.enter()
-	s.router.Arrive(asked(ask))
+	a := asked(ask)
+	if !a.Behind {
+		a.Left = max(a.Left-s.unread(), 0)
+	}
+	s.router.Arrive(a)
 	s.arrived = nil
 	return true
 }
@@ -337,11 +371,16 @@
 	c.out = append(c.out, out{trip: n, cache: e.Cache, source: e.Source, sent: s.now})
 	get := trips.Get{Case: s.names.UseCases[c.ask.Case], Object: c.ask.Object, ID: c.ask.Mark, Part: c.ask.Part,
 		Budget: e.Until - s.now, Rank: e.Rank, Oldest: e.Oldest, Join: e.Join, Held: e.HeldOnly, Renew: e.Renew,
-		Have: c.ask.Have}
+		Have: c.ask.Have, Key: c.ask.Key}
 	if e.Source != decide.NoCache && e.Source != e.Cache {
 		get.Source = s.listed[e.Source].name
 	}
 	t := trips.Ticket{Visit: v, Trip: n}
+	if s.Stalled() && c.client.Gone(c.no) { // no attempt begins for a client that has gone, told or not
+		s.gone = append(s.gone, v)
+		s.close(c, &c.out[n], decide.Withdrawn, nil)
+		return
+	}
 	s.alarm(alarm{at: e.Until, trip: t})
 	s.trace.sent(c, n, &e, s.now)
 	s.yard.Send(t, e.Cache, &get, c.ask.Body)
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -17,6 +17,7 @@
 	"threadrun/decide"
 	"threadrun/internal/deployment"
 	"threadrun/internal/fixed"
+	"threadrun/internal/front"
 	"threadrun/internal/mix"
 	"threadrun/internal/msgpack"
 	"threadrun/internal/operator"
@@ -49,6 +50,12 @@
 }
 
 func open(t testing.TB, answer func(c *standin.Cache, g *standin.Get) *standin.Reply, more ...string) *branch {
+	t.Helper()
+	return openSite(t, answer, standin.Site, more...)
+}
+
+// openSite opens a branch with some settings.
+func openSite(t testing.TB, answer func(c *standin.Cache, g *standin.Get) *standin.Reply, site string, more ...string) *branch {
 	t.Helper()
 	b := &branch{t: t, caches: map[string]*standin.Cache{}, log: &strings.Builder{}}
 	var err error
@@ -77,7 +84,7 @@
 	}
 	b.door = l.Addr().String()
 	l.Close()
-	text := standin.Configuration(b.door, b.board)
+	text := standin.ConfigurationOf(b.door, b.board, site)
 	for _, m := range more {
 		text = strings.Replace(text, "{", "{"+m+",", 1)
 	}
@@ -222,6 +229,61 @@
 	}
 }
 
+// The key by which repeats of a request are dropped goes on unchanged, with each of its attempts; a request without one goes on without.
+func TestKeyGoesOn(t *testing.T) {
+	b := open(t, nil)
+	defer b.close()
+	for i, key := range []string{"7c1f-9a", ""} {
+		f := standin.Visit(uint64(i+1), object, time.Second)
+		if key != "" {
+			f["nonce"] = key
+		}
+		_, ch := b.client.Ask("order", f, []byte("a write"))
+		if a := b.wait(ch); a.Error != "" {
+			t.Fatalf("%+v", a)
+		}
+		for _, g := range b.edges() {
+			if got, has := g.Fields["uniq"]; g.ID == f["trace"] && (got != key || has != (key != "")) {
+				t.Errorf("key %q went on as %q", key, got)
+			}
+		}
+	}
+	if n := len(b.edges()); n < 2 {
+		t.Errorf("%d attempts", n)
+	}
+	f := standin.Visit(9, object, time.Second)
+	f["nonce"] = "a,b=c"
+	_, ch := b.client.Ask("order", f, []byte("a write"))
+	if a := b.wait(ch); a.Error != "Fault" {
+		t.Errorf("a key that can't stand in a list of fields: %+v", a)
+	}
+}
+
+// Requests are counted against their tenants' shares, by the names that the settings give; a name that they do not give is no tenant's.
+func TestTenantsByName(t *testing.T) {
+	site := strings.Replace(standin.Site, `"tenants":[]`, `"over_share_worth":0.1,"tenants":[{"name":"north","quota_rps":1},{"name":"south","quota_rps":2}]`, 1)
+	b := openSite(t, nil, site)
+	defer b.close()
+	for name, want := range map[string]decide.TenantID{"north": 0, "south": 1, "elsewhere": decide.NoTenant, "": decide.NoTenant} {
+		if got := b.router.desk.Tenant([]byte(name)); got != want {
+			t.Errorf("tenant %q is %d, not %d", name, got, want)
+		}
+	}
+	f := standin.Visit(1, object, time.Second)
+	f["customer"] = "south"
+	_, ch := b.client.Ask("page", f, nil)
+	if a := b.wait(ch); a.Error != "" {
+		t.Fatalf("%+v", a)
+	}
+	var tenants []decide.TenantID
+	b.router.engine.Do(func() {
+		tenants = append(tenants, asked(&front.Ask{Tenant: 1}).Tenant, asked(&front.Ask{Tenant: decide.NoTenant}).Tenant)
+	})
+	if tenants[0] != 1 || tenants[1] != decide.NoTenant {
+		t.Errorf("handed to the module as %v", tenants)
+	}
+}
+
 // Large answers come whole over a client that reads little at a time, beside small ones.
 func TestLargeAnswers(t *testing.T) {
 	b := open(t, func(_ *standin.Cache, g *standin.Get) *standin.Reply {
--- a/internal/simnet/stream.go
+++ b/internal/simnet/stream.go
@@ -385,9 +385,7 @@
 	return gone
 }
 
-func (e *end) Waiting() bool { return len(e.rcv) > 0 }
-
-func (e *end) Finished() bool { return e.ended && len(e.rcv) == 0 }
+func (e *end) Peek(b []byte) (int, bool) { return copy(b, e.rcv), e.ended && len(e.rcv) == 0 }
 
 func (e *end) String() string { return e.remote.String() }
 
--- a/internal/sockets/ground.go
+++ b/internal/sockets/ground.go
@@ -32,8 +32,8 @@
 	// does not tell of it. Waits says that something given before has not gone yet.
 	Send(parts [][]byte, waits bool) (gone int)
 	Close()
-	Waiting() bool  // bytes have come that were not handed on yet
-	Finished() bool // the other side has ended its sending, and nothing before that waits to be read
+	// Peek looks at what has come and was not handed on yet; with none of that, ended tells that the other side has ended its sending.
+	Peek(b []byte) (n int, ended bool)
 	String() string
 }
 
--- a/internal/sockets/kernel.go
+++ b/internal/sockets/kernel.go
@@ -26,6 +26,7 @@
 type kernel struct {
 	engine  *Engine
 	nb      *nbio.Engine
+	inHand  handed
 	dials   context.Context // of the connects under way
 	noDials func()          // gives all of them up
 }
@@ -42,6 +43,29 @@
 // System is the kernel's ground for who needs no connections: its clock, calls by turns and datagrams.
 func System() Ground { return newKernel(0) }
 
+// handed is what the poller has read and waits to hand on, while another callback holds the engine's lock.
+type handed struct {
+	mu   sync.Mutex
+	from *nbio.Conn
+	b    []byte
+}
+
+func (h *handed) set(from *nbio.Conn, b []byte) {
+	h.mu.Lock()
+	h.from, h.b = from, b
+	h.mu.Unlock()
+}
+
+// peek copies what was read from a connection.
+func (h *handed) peek(from *nbio.Conn, b []byte) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.from != from {
+		return 0
+	}
+	return copy(b, h.b)
+}
+
 func (k *kernel) start(e *Engine) error {
 	k.engine = e
 	k.nb.OnData(k.data)
@@ -56,7 +80,9 @@
 
 // data and closed take the lock before they look for the connection: it is tied to the poller's under the lock.
 func (k *kernel) data(nb *nbio.Conn, b []byte) {
+	k.inHand.set(nb, b)
 	k.engine.mu.Lock()
+	k.inHand.set(nil, nil)
 	c, _ := nb.Session().(*Conn)
 	k.engine.came(c, b)
 }
@@ -115,7 +141,7 @@
 	if c.accepted == nil {
 		_ = nb.SetWriteBuffer(sendBuffer)
 	}
-	return kernelWire{nb}, nil
+	return kernelWire{nb, k}, nil
 }
 
 // Dial connects by the library's dialer, in a goroutine that ends with the connect. The poller's own way of doing this reads an
@@ -141,27 +167,22 @@
 }
 
 // kernelWire is one of the poller's connections.
-type kernelWire struct{ nb *nbio.Conn }
+type kernelWire struct {
+	nb *nbio.Conn
+	k  *kernel
+}
 
 func (w kernelWire) Close() { _ = w.nb.Close() }
 
 func (w kernelWire) String() string { return fmt.Sprint(w.nb.RemoteAddr()) }
 
-func (w kernelWire) Waiting() bool {
-	n, err := w.peek()
-	return err == nil && n > 0
-}
-
-func (w kernelWire) Finished() bool {
-	n, err := w.peek()
-	return err == nil && n == 0
-}
-
-// peek looks at what has come and was not read; 0 without an error is the other side's end.
-func (w kernelWire) peek() (int, error) {
-	var b [1]byte
-	n, _, err := syscall.Recvfrom(w.nb.Hash(), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return n, err
+func (w kernelWire) Peek(b []byte) (n int, ended bool) {
+	read := w.k.inHand.peek(w.nb, b)
+	if read == len(b) {
+		return read, false
+	}
+	n, _, err := syscall.Recvfrom(w.nb.Hash(), b[read:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return read + max(n, 0), err == nil && read+n == 0
 }
 
 // Send writes gathered where nothing waits before. What the kernel does not take is copied and follows.
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -236,10 +236,26 @@
 func (c *Conn) Drained() bool { return c.wire != nil && c.queued == c.sent.Load() }
 
 // Finished tells whether the other side has ended its sending and all that it sent has been read.
-func (c *Conn) Finished() bool { return !c.over && c.wire != nil && c.wire.Finished() }
+func (c *Conn) Finished() bool {
+	var b [1]byte
+	_, ended := c.Peek(b[:])
+	return ended
+}
 
 // Waiting tells whether bytes have come that the poller has not read yet.
-func (c *Conn) Waiting() bool { return !c.over && c.wire != nil && c.wire.Waiting() }
+func (c *Conn) Waiting() bool {
+	var b [1]byte
+	n, _ := c.Peek(b[:])
+	return n > 0
+}
+
+// Peek looks at what has come and was not read yet; with none of that, ended tells that the other side has ended its sending.
+func (c *Conn) Peek(b []byte) (n int, ended bool) {
+	if c.over || c.wire == nil {
+		return 0, false
+	}
+	return c.wire.Peek(b)
+}
 
 // Wire is the connection's lower end, for stand-ins on a ground of their own; nil: there is none.
 func (c *Conn) Wire() Wire { return c.wire }
@@ -315,6 +331,9 @@
 // Len is how many bytes are held.
 func (in *Inbox) Len() int { return len(in.held) }
 
+// Held is what is held, good until the next call.
+func (in *Inbox) Held() []byte { return in.held }
+
 // Take reads all whole messages of what was held and b, and holds the rest.
 func (in *Inbox) Take(e *Engine, b []byte, m Messages) error {
 	if len(in.held) > 0 {
--- a/internal/trips/trips.go
+++ b/internal/trips/trips.go
@@ -633,6 +633,7 @@
 	Join, Held bool
 	Renew      bool
 	Have       []byte // the client's copy
+	Key        []byte // by which repeats are dropped
 }
 
 // AppendGet writes a request up to its body, of the given length, which is to follow with a line's end. Spans are
@@ -661,6 +662,9 @@
 			sep = "+"
 		}
 	}
+	if len(g.Key) > 0 {
+		f = append(append(f, ",uniq="...), g.Key...)
+	}
 	if len(g.Have) > 0 {
 		f = append(append(f, ",have="...), g.Have...)
 	}
--- a/internal/upkeep/renewing.go
+++ b/internal/upkeep/renewing.go
@@ -58,7 +58,7 @@
 		return ask, false
 	}
 	ask = front.Ask{Case: decide.UseCaseID(copied.UseCase), Object: hexed(copied.Object), Part: copied.Part,
-		Group: decide.GroupID(copied.Group), KB: copied.KB, Behind: true, Gap: copied.Gap,
+		Group: decide.GroupID(copied.Group), Tenant: decide.NoTenant, KB: copied.KB, Behind: true, Gap: copied.Gap,
 		Patience: min(max(copied.Until-now, renewLeast), renewMost)}
 	return ask, true
 }
@@ -102,6 +102,9 @@
 // Assigned needs nothing of it.
 func (r renewals) Assigned(uint64, decide.VisitID) {}
 
+// Gone: no client waits for a renewal.
+func (r renewals) Gone(uint64) bool { return false }
+
 // Renew hands a renewal to the scheduler.
 func (u *Upkeep) Renew(w duties.Work, r ageing.Renewal) {
 	if u.renews {
--- a/rules/events.go
+++ b/rules/events.go
@@ -73,12 +73,14 @@
 	Died                 // a router's process ended: Router
 	Halted               // it gets no turn: Router
 	Resumed
-	Muted // the bulletin is out of everyone's reach
-	Spoke // it is so no more
+	Muted  // the bulletin is out of everyone's reach
+	Spoke  // it is so no more
+	Parted // a router's network is gone: what was written to it comes late, and it can't know
+	Rejoined
 )
 
 var whats = [...]string{"asked", "answered", "left", "excused", "dropped", "came", "ended", "ran", "filled", "listed", "purged", "told",
-	"started", "died", "halted", "resumed", "muted", "spoke"}
+	"started", "died", "halted", "resumed", "muted", "spoke", "parted", "rejoined"}
 
 func (w What) String() string { return whats[w] }
 
@@ -131,7 +133,7 @@
 		s += fmt.Sprintf(" router %d no %d", e.Router, e.No)
 	case Filled, Started:
 		s += fmt.Sprintf(" machine %d", e.Machine)
-	case Died, Halted, Resumed:
+	case Died, Halted, Resumed, Parted, Rejoined:
 		s += fmt.Sprintf(" router %d", e.Router)
 	}
 	return s
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -75,6 +75,8 @@
 	told    []Micros // when, by the bulletin's number
 	halted  bool
 	resumed Micros // last; with halted, since when it is
+	parted  bool
+	joined  Micros // its network again, last; 0: never parted
 	ever    bool
 	open    map[*visit]struct{}
 }
@@ -185,6 +187,9 @@
 		r.told = nil // that it is out of reach is its machine's, and stays
 	case Muted, Spoke:
 		w.mute, w.spoke = e.What == Muted, e.At
+	case Parted, Rejoined:
+		r := w.router(e.Router)
+		r.parted, r.joined = e.What == Parted, e.At
 	case Halted, Resumed:
 		r := w.router(e.Router)
 		r.halted, r.resumed, r.ever = e.What == Halted, e.At, true
@@ -213,6 +218,9 @@
 // spared tells whether a router got no turn since a time: it can't have answered then.
 func (w *Watch) spared(r *router, since Micros) bool { return r.halted || r.ever && r.resumed >= since }
 
+// cutOff tells whether a router's network was gone since a time: it can't know how long what it reads was on its way.
+func (r *router) cutOff(since Micros) bool { return r.parted || r.joined >= since && r.joined > 0 }
+
 // overdue: rule 1, each visit gets its answer in time.
 func (w *Watch) overdue(now Micros) {
 	n := 0
@@ -338,11 +346,11 @@
 	if v.answer != nil && e.Sent > v.answer.Sent {
 		w.breach(1, e.At, e.Visit, "a trip after the final answer", append(w.story(v), e)...)
 	}
-	if v.left != nil && e.Sent > v.left.At+w.terms.Begin+w.terms.Slack && !w.spared(w.router(e.Router), v.left.At) {
+	if v.left != nil && e.Sent > v.left.At+w.terms.Begin+w.terms.Slack && !w.router(e.Router).cutOff(v.left.At) { // one that had no turn looks first
 		w.breach(1, e.At, e.Visit, fmt.Sprintf("an attempt began %.3fs after its client had left", (e.Sent-v.left.At).Seconds()),
 			append(w.story(v), *v.left, e)...)
 	}
-	if e.Sent+e.Budget > v.asked.Until+w.terms.Spare && !w.spared(w.router(e.Router), v.asked.At) {
+	if e.Sent+e.Budget > v.asked.Until+w.terms.Spare && !w.router(e.Router).cutOff(v.asked.At) { // one that had no turn knows so
 		w.breach(1, e.At, e.Visit, fmt.Sprintf("the deadline passed on is %.3fs past its client's", (e.Sent+e.Budget-v.asked.Until).Seconds()),
 			append(w.story(v), e)...)
 	}
