--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -135,7 +135,7 @@
 			t.Errorf("%s: %+v, home %d, another %d", what, e, home, other)
 		}
 	}
-	d, home, other = setup(true)
+	d, _, _ = setup(true)
 	d.r.ledger.objects.Peek(key).kept = NoCache // seen by others alone
 	d.arrive(page)
 	if e := d.out[0]; d.told[e.Source].Tier != Parent || len(d.sought) != 1 {
--- a/internal/crowd/house.go
+++ b/internal/crowd/house.go
@@ -101,7 +101,6 @@
 	trips    int
 	open     map[decide.TripNo]bool
 	answered bool
-	hit      bool
 }
 
 // started gives a router that has started a module that knows nothing.
--- /dev/null
+++ b/internal/service/races_test.go
@@ -0,0 +1,204 @@
+package service
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"threadrun/internal/deployment"
+	"threadrun/internal/standin"
+)
+
+// Each test forces one crossing of docs/races.md: the engine's lock is held, or a stand-in holds its answer, while the other event comes.
+
+// held is a branch whose caches answer once they are let to.
+func held(t *testing.T) (b *branch, asked chan *standin.Get, let chan struct{}) {
+	asked, let = make(chan *standin.Get, 64), make(chan struct{})
+	b = open(t, func(_ *standin.Cache, g *standin.Get) *standin.Reply {
+		asked <- g
+		<-let
+		return &standin.Reply{Word: "data", Body: []byte("here")}
+	})
+	return b, asked, let
+}
+
+// leaveMeanwhile begins to leave; the result is closed when all is over.
+func (b *branch) leaveMeanwhile() <-chan struct{} {
+	left := make(chan struct{})
+	go func() {
+		b.router.Leave()
+		close(left)
+	}()
+	b.until("leaving", func() bool {
+		leaving := false
+		b.router.engine.Do(func() { leaving = b.router.desk.leaving })
+		return leaving
+	})
+	return left
+}
+
+func (b *branch) ended(left <-chan struct{}) {
+	b.t.Helper()
+	select {
+	case <-left:
+	case <-time.After(long):
+		b.t.Fatal("never left")
+	}
+}
+
+// The word to end comes between the bytes of a request: it is read whole and answered.
+func TestLeavingBetweenTheBytesOfARequest(t *testing.T) {
+	b, _, let := held(t)
+	defer b.close()
+	close(let)
+	no, answer := b.client.Ask("page", standin.Visit(1, object, 2*time.Second), nil)
+	b.wait(answer)
+	whole := standin.Request(no+1, "page", standin.Visit(2, object, 2*time.Second), nil)
+	conn, err := net.Dial("tcp", b.door)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = conn.Write(whole[:len(whole)/2])
+	left := b.leaveMeanwhile()
+	_, _ = conn.Write(whole[len(whole)/2:])
+	_ = conn.SetReadDeadline(time.Now().Add(long))
+	got := make([]byte, 64)
+	if n, err := conn.Read(got); err != nil || !strings.Contains(string(got[:n]), "here") {
+		t.Errorf("read %q, %v", got[:n], err)
+	}
+	b.ended(left)
+}
+
+// The word to end comes while connections wait to be accepted and requests lie on them: all are answered.
+func TestLeavingWithABacklogInTheKernel(t *testing.T) {
+	b, _, let := held(t)
+	defer b.close()
+	close(let)
+	var late []*standin.Client
+	var answers []<-chan *standin.Answer
+	var step func() bool
+	step = b.router.Leaving()
+	b.router.engine.Do(func() { // nothing is accepted or read meanwhile
+		for no := range 5 {
+			c, err := standin.Connect(b.door)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, answer := c.Ask("page", standin.Visit(uint64(100+no), object, 2*time.Second), nil)
+			late, answers = append(late, c), append(answers, answer)
+		}
+	})
+	for end := time.Now().Add(long); !step(); time.Sleep(leaveEvery) {
+		if time.Now().After(end) {
+			t.Fatal("never left")
+		}
+	}
+	for i, answer := range answers {
+		if a := b.wait(answer); string(a.Body) != "here" {
+			t.Errorf("%d: %+v", i, a)
+		}
+		late[i].Close()
+	}
+}
+
+// The word to end comes while an attempt is out: its answer is passed on before the end, however much later it comes.
+func TestLeavingWhileAnAttemptIsOut(t *testing.T) {
+	b, asked, let := held(t)
+	defer b.close()
+	answer := b.ask("page", object, 5*time.Second, nil)
+	<-asked
+	left := b.leaveMeanwhile()
+	select {
+	case <-left:
+		t.Fatal("left with an answer owed")
+	case <-time.After(serveOn + 2*quietFor):
+	}
+	close(let)
+	if a := b.wait(answer); string(a.Body) != "here" {
+		t.Errorf("%+v", a)
+	}
+	b.ended(left)
+}
+
+// A client that cancels, or closes, while its attempt is out gets nothing more, and no further attempt begins though the first fails.
+func TestCancelledBetweenAttempts(t *testing.T) {
+	for _, how := range []string{"cancels", "closes"} {
+		asked, let := make(chan *standin.Get, 64), make(chan struct{})
+		b := open(t, func(_ *standin.Cache, g *standin.Get) *standin.Reply {
+			asked <- g
+			<-let
+			return &standin.Reply{Word: "full"}
+		})
+		c := b.connect()
+		no, answer := c.Ask("page", standin.Visit(7, object, 5*time.Second), nil)
+		<-asked
+		if how == "closes" {
+			c.Close()
+		} else {
+			c.GiveUp(no)
+		}
+		b.until("the request is taken off", func() bool {
+			owed := true
+			b.router.engine.Do(func() { owed = !b.router.rpc.Quiet() })
+			return !owed
+		})
+		close(let)
+		b.until("the attempt has ended", func() bool {
+			open := 0
+			b.router.engine.Do(func() { open = len(b.router.desk.marks) })
+			return open == 0
+		})
+		if n := len(b.edges()); n != 1 {
+			t.Errorf("%s: %d attempts", how, n)
+		}
+		select {
+		case a := <-answer:
+			if a != nil {
+				t.Errorf("%s: answered %+v", how, a)
+			}
+		default:
+		}
+		c.Close()
+		b.close()
+	}
+}
+
+// Bytes of two settings files: what the first one switched on is gone with the second, be it taken up by SIGHUP or at a start.
+func TestNothingIsLeftOfAnEarlierFile(t *testing.T) {
+	b := open(t, nil, `"pools":{"clients":3,"caches":5,"each_cache":2,"unread_bytes":300000,"client_idle_ms":1000}`)
+	defer b.close()
+	plain, err := standin.Write(t.TempDir(), standin.Configuration(b.door, b.board))
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, err := deployment.Open(plain, func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := b.router.Reload(file, b.router.spec); err != nil {
+		t.Fatal(err)
+	}
+	clients, _, _, _, _, _, err := file.Pools()
+	if err != nil || clients < 10 {
+		t.Fatalf("%d clients, %v", clients, err)
+	}
+	var all []*standin.Client
+	for no := range 10 { // over the bound of the first file
+		c := b.connect()
+		_, answer := c.Ask("page", standin.Visit(uint64(50+no), object, 2*time.Second), nil)
+		if a := b.wait(answer); a.Error != "" {
+			t.Errorf("%+v", a)
+		}
+		all = append(all, c)
+	}
+	for i, c := range all {
+		select {
+		case <-c.Ended():
+			t.Errorf("connection %d was ended, as the first file had it", i)
+		default:
+		}
+		c.Close()
+	}
+}
--- a/internal/upkeep/upkeep.go
+++ b/internal/upkeep/upkeep.go
@@ -78,7 +78,6 @@
 	timeout   time.Duration
 	out       map[uint64]probe
 	cases     []ageing.UseCase
-	mark      front.Mark
 	marks     uint64
 	tended    time.Time
 }
