--- a/decide/decide.go
+++ b/decide/decide.go
@@ -71,7 +71,7 @@
 	budgetRate              = 0.8       // of a cold cache's allowance, as a steady rate
 	budgetBlind             = 0.7       // of that where many routers each have a burst and sizes are not told
 	budgetBurst             = 0.2       // of one window's allowance, at once
-	budgetKeeps             = 0.1       // of one window, for which a router's turn holds where that is less than a request
+	budgetKeeps             = 0.1       // of one window: so long a router's turn for a single request holds
 	budgetFloor             = 2.0       // work a second that a warm one is taken to bear where nothing is known
 	bearWeight, bearForgets = 0.05, 0.2 // of that weight for less than before
 
@@ -286,7 +286,7 @@
 func (r *Router) further(v *visit, t *trip, end Ending) {
 	idle := end == Lacking || end == NoRoute || end == NeverSent // costs little and says nothing of a crowd
 	if v.Behind || v.n >= min(tripsMost, r.leave.Trips) || r.now >= v.ends || r.heavy && !idle ||
-		!r.mayRepeat(v) {
+		!r.mayRepeat(v, r.now) {
 		r.giveUp(v)
 		return
 	}
@@ -345,9 +345,15 @@
 }
 
 // mayRepeat wards off a second effect: a trip that may have run binds those after it.
-func (r *Router) mayRepeat(v *visit) bool {
+func (r *Router) mayRepeat(v *visit, at Micros) bool {
 	use := &r.cases[v.UseCase]
-	return !v.ran || use.Effect == Harmless || use.Effect == Stamped && r.now-v.ranSince < use.Window-100*ms
+	return !v.ran || use.Effect == Harmless || use.Effect == Stamped && at-v.ranSince < use.Window-100*ms
+}
+
+// mayComeBack tells whether its client may ask again at any cache, as late as it may be told to.
+func (r *Router) mayComeBack(v *visit) bool {
+	anywhere := !v.ran || r.cases[v.UseCase].Effect == Harmless || r.cases[v.UseCase].Reach == Everywhere
+	return anywhere && r.mayRepeat(v, r.now+r.leave.LongestComeback)
 }
 
 // inReach tells whether a stamped visit's repeat would be known at this cache.
@@ -365,9 +371,7 @@
 	if !v.move(Answered) {
 		return
 	}
-	use := &r.cases[v.UseCase]
-	if r.now >= v.ends || v.Behind && v.n > 0 ||
-		v.ran && (use.Effect == OneShot || use.Effect == Stamped && use.Reach != Everywhere) {
+	if r.now >= v.ends || v.Behind && v.n > 0 || !r.mayComeBack(v) {
 		r.desk.Scrap(v.id)
 	} else {
 		r.desk.Defer(v.id, Micros(float64(r.leave.LongestComeback)*(0.5+0.5*r.chance())))
@@ -445,8 +449,8 @@
 	if v.Write && e.Source == e.Cache {
 		return r.straight(v, e)
 	}
-	// What is expected to be held is not booked as a fill, and may be one all the same. Wards off such fills, and
-	// renewals behind ageing copies, from a source that has just started: its cache is only looked at.
+	// What is expected to be held is not booked as a fill, and may be one all the same. Wards off such fills,
+	// and renewals behind ageing copies, from a source that has just started: its cache is only looked at.
 	if held := r.holds(v, o, &r.caches[e.Cache]); held && r.isCold(&r.caches[e.Source]) {
 		e.Source = e.Cache
 	}
@@ -641,8 +645,8 @@
 	if burst := rate * seconds(s.Window) * budgetBurst; burst >= cost {
 		return c.bucket.Fill(now, rate*budgetRate, burst) >= cost
 	}
-	// Many routers have less than one request each at a time. What one does not use within a moment is void, at a moment
-	// of its own: else all of them would have one in hand after a silence, and send it at once.
+	// Many routers have less than one request each at a time. What one does not use within a moment is void, at
+	// a time of its own: else all of them would have one in hand after a silence, and send it at once.
 	held := c.bucket.Fill(now, rate*budgetRate, math.Inf(1))
 	if held < cost {
 		return false
@@ -656,8 +660,8 @@
 	return true
 }
 
-// price is what a visit takes of a cold budget: its cost, and no less than the mean of what warm ones were asked. A
-// cache also bears a number of requests, and what is in demand there may be smaller than it was.
+// price is what a visit takes of a cold budget: its cost, and no less than the mean of what warm ones bore.
+// A cache also bears a number of requests, and what is in demand there may be smaller than it was.
 func (r *Router) price(v *visit, c *cache) float64 {
 	if c.Tier == Origin {
 		return r.cost(v)
@@ -668,8 +672,7 @@
 // cost is a visit's weight in what caches bear: its use case's mean sending time.
 func (r *Router) cost(v *visit) float64 { return math.Max(r.meanWork(v.UseCase), 0.001) }
 
-// meanWork is the mean sending time of a use case in seconds. Until one is known it is the whole expected time: too
-// much rather than too little, as it is what a just-started cache is spared.
+// meanWork is a use case's mean sending time in seconds; until one is known, its whole expected time.
 func (r *Router) meanWork(use UseCaseID) float64 {
 	if r.work[use] > 0 {
 		return r.work[use]
@@ -677,8 +680,8 @@
 	return seconds(r.cases[use].Expected)
 }
 
-// timed learns the sending time of what came without a fill, where the client told no size. An object's is the least
-// that its hits took, which moves up slowly: what they take beyond it is waiting, and says nothing of its size.
+// timed learns the sending time of what came without a fill, where the client told no size. An object's is
+// the least that its hits took, which moves up slowly: what they take beyond it is waiting, not its size.
 func (r *Router) timed(v *visit, rep Report) {
 	if v.KB > 0 && r.branch.PaceKB > 0 || rep.Ending != Delivered || rep.Trace.IsFill() || rep.Trace == Joined {
 		return
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -792,3 +792,31 @@
 		t.Errorf("%d %d", a, b)
 	}
 }
+
+// A keyed request that may have run is given back as one that may be tried again only while its repeat is sure to be dropped, however late
+// its client comes back; a request that must not run twice never is.
+func TestRetryableOnlyWhileRepeatsAreDropped(t *testing.T) {
+	const keyed, oneShot = 3, 2
+	for _, c := range []struct {
+		name     string
+		use      UseCaseID
+		longest  Micros // until a client comes back
+		runs     Micros // of the attempt, which fails
+		deferred bool
+	}{
+		{"within the window", keyed, 0, second, true},
+		{"the client may come back too late", keyed, second, second, false},
+		{"the window is over", keyed, 0, 2 * second, false},
+		{"never", oneShot, 0, 10 * ms, false},
+	} {
+		leave := plainLeave
+		leave.Trips, leave.LongestComeback = 1, c.longest
+		d := bench(leave)
+		v := d.arrive(Asked{UseCase: c.use, Object: 5, Left: 5 * second, Write: true, Tenant: NoTenant})
+		d.r.Clock(d.r.now + c.runs)
+		d.end(0, Report{Ending: Broken, Elapsed: c.runs})
+		if d.answers[v] != 1 || (d.deferred == 1) != c.deferred {
+			t.Errorf("%s: %d answers, retryable %v", c.name, d.answers[v], d.deferred == 1)
+		}
+	}
+}
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -38,6 +38,11 @@
 		{`"aim":300`, `"aim":"soon"`, "'lanes[0].aim'"}, {`"aim":300,"deadline"`, `"deadline"`, "'lanes[1].aim'"},
 		{`"effect":"non_idempotent"`, `"effect":"odd"`, "'lanes[1].effect'"}, {`"name":"order"`, `"name":"a,b"`, "'lanes[1].name'"},
 		{`"az":"branch"`, `"az":"moon"`, "'az'"}, {`"direct":false`, `"direct":1`, "'extra.direct'"},
+		{`"group":"all","value":3`, `"group":"some","value":3`, "'lanes[1].group'"},
+		{`"non_idempotent","group":"all","value":3,"window":5000`, `"idempotency_key","group":"all","value":3`, "'lanes[1].window'"},
+		{`"siblings":"location"`, `"siblings":"near"`, "'extra.siblings'"}, {`"detail":"hit"`, `"detail":"most"`, "'extra.detail'"},
+		{`"tenants":[]`, `"tenants":[],"report":{"how":"by_post"}`, "'report.how'"},
+		{`"tenants":[]`, `"tenants":[],"weight_source":"guess"`, "'weight_source'"}, {`"discovery":"push"`, `"discovery":"pull"`, "'discovery'"},
 		{`"kinds":[`, `"kind":[`, "'kinds'"}, {`"send_cap":6`, `"send_cap":-1`, "'limits.send_cap'"}, {`}`, ``, "parse"},
 	} {
 		err := read(strings.Replace(good, c.old, c.with, 1))
--- a/internal/deployment/keys.go
+++ b/internal/deployment/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/valyala/fastjson"
@@ -77,6 +78,18 @@
 	return string(b)
 }
 
+// choice reads a word that is one of several; an absent one is the first.
+func (k *keys) choice(v *fastjson.Value, path string, words ...string) string {
+	s := k.word(v, path)
+	if s == "" {
+		return words[0]
+	}
+	if !slices.Contains(words, s) {
+		k.fault(path, fmt.Sprintf("is %q, none of %s", s, strings.Join(words, ", ")))
+	}
+	return s
+}
+
 func (k *keys) array(v *fastjson.Value, path string, must bool) []*fastjson.Value {
 	m := find(v, path)
 	if m == nil || m.Type() == fastjson.TypeNull {
--- a/internal/deployment/site.go
+++ b/internal/deployment/site.go
@@ -131,12 +131,15 @@
 		default: // what a repeat would do is no matter for a guess
 			k.fault("effect", fmt.Sprintf("is %q, which is no known effect", s))
 		}
-		switch k.word(c, "group") {
+		switch k.choice(c, "group", "all", "zone", "cell") {
 		case "zone":
 			u.Reach = decide.OwnZone
 		case "cell":
 			u.Reach = decide.OwnCell
 		}
+		if u.Effect == decide.Stamped && u.Window <= 0 {
+			k.fault("window", "is missing, and the class's repeats are dropped by a key")
+		}
 		k.prefix = ""
 		cases = append(cases, u)
 	}
@@ -172,12 +175,15 @@
 func leave(k *keys, in *fastjson.Value) decide.Leave {
 	l := decide.Leave{Trips: int(k.number(in, "limits.send_cap", 1, 0)), TwoAtOnce: k.truth(in, "limits.parallel_tries"),
 		Withdraw: k.truth(in, "limits.cancelling"), Direct: k.truth(in, "extra.direct"),
-		Join: k.truth(in, "extra.can_join"), Ask: k.word(in, "discovery") == "ask",
-		Told: k.word(in, "extra.detail") == "all"}
+		Join: k.truth(in, "extra.can_join"), Ask: k.choice(in, "discovery", "push", "ask") == "ask",
+		Told: k.choice(in, "extra.detail", "off", "hit", "all") == "all"}
+	// Decisions go by neither of the two; a word that is not known may mean what is not known either.
+	k.choice(in, "report.how", "off", "inline", "on_probe")
+	k.choice(in, "weight_source", "off", "nominal", "rough", "live")
 	if k.truth(in, "limits.retry_after") {
 		l.LongestComeback = k.span(in, "limits.max_retry_after", 0)
 	}
-	switch k.word(in, "extra.siblings") {
+	switch k.choice(in, "extra.siblings", "off", "location", "any") {
 	case "location":
 		l.Siblings = true
 	case "any":
