Cold budgets at nine tenths of the allowance, bursts within twice the root of it

Change: the steady rate is 0.9 of the allowance (it was 0.8), as the rule's own slack of two roots takes the chance; bursts are a fifth, or what with the steady rate fits the allowance and twice its root for all routers together, if that is less.

--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -18,13 +18,18 @@
 func TestColdSumOfTheFleet(t *testing.T) {
 	cold := ColdStart{Least: 0.23, Multiple: 2, Ramp: 16 * second, Window: 1500 * ms}
 	listed := fleet()
-	const bears, work = 5.0, 0.25 // of the cache, a second; of a request
-	for _, size := range []int{2, 24, 350} {
+	const work = 0.25 // of a request
+	type fleetOf struct {
+		size  int
+		bears float64 // work a second, of the cache
+	}
+	for no, x := range []fleetOf{{2, 5}, {2, 50}, {8, 5}, {24, 5}, {24, 50}, {100, 5}, {350, 5}, {350, 5}, {350, 5}, {350, 50}} {
+		size, bears := x.size, x.bears
 		for _, silence := range []Micros{0, second, 3 * second, 9 * second} {
 			routers := make([]*Router, size)
 			for i := range routers {
 				d := bench(plainLeave)
-				d.r.seed, d.r.branch.Crew, d.r.branch.Fleet = uint32(7919*i+1), size, size
+				d.r.seed, d.r.branch.Crew, d.r.branch.Fleet = uint32(7919*i+104729*no+1), size, size
 				d.r.cold, d.r.borne = [2]ColdStart{cold, cold}, [2]float64{bears / 2 / float64(size), bears / float64(size)} // edge caches: by weight
 				d.r.work[0] = work
 				x := listed[1]
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -68,7 +68,7 @@
 	quickTie    = 1.3      // sources nearer than this are equally quick: the hash decides
 	quickBase   = 20_000.0 // added to both
 
-	budgetRate              = 0.8       // of a cold cache's allowance, as a steady rate
+	budgetRate              = 0.9       // of a cold cache's allowance, as a steady rate
 	budgetBlind             = 0.7       // of that where many routers each have a burst and sizes are not told
 	budgetBurst             = 0.2       // of one window's allowance, at once
 	budgetKeeps             = 0.1       // of one window: so long a router's turn for a single request holds
@@ -633,31 +633,29 @@
 	}
 	s := &r.cold[c.Tier]
 	part := s.Least + (1-s.Least)*float64(r.now-c.Started)/float64(s.Ramp)
-	least := math.Max(budgetFloor, r.fits()*c.Weight/r.weight) / float64(r.branch.Crew)
+	least, of := math.Max(budgetFloor, r.fits()*c.Weight/r.weight), float64(r.branch.Crew)
 	if c.Tier == Parent {
-		least = math.Max(budgetFloor, r.fits()) / float64(r.branch.Fleet)
+		least, of = math.Max(budgetFloor, r.fits()), float64(r.branch.Fleet)
 	}
-	rate := s.Multiple * part * math.Max(r.borne[c.Tier]*c.Weight, least)
+	rate := s.Multiple * part * math.Max(r.borne[c.Tier]*c.Weight, least/of)
 	if c.Weight == 1 && float64(r.branch.Crew) > few { // its size is not told: it may be the smallest
 		rate *= budgetBlind
 	}
 	cost, now := r.price(v, c), seconds(r.now)
-	if burst := rate * seconds(s.Window) * budgetBurst; burst >= cost {
+	window := rate * seconds(s.Window) // this router's part; all bursts fit twice the root
+	burst := window * math.Min(budgetBurst, 1-budgetRate+2/math.Sqrt(window*of/cost))
+	if burst >= cost {
 		return c.bucket.Fill(now, rate*budgetRate, burst) >= cost
 	}
 	// Many routers have less than one request each at a time. What one does not use within a moment is void, at
 	// a time of its own: else all of them would have one in hand after a silence, and send it at once.
-	held := c.bucket.Fill(now, rate*budgetRate, math.Inf(1))
-	if held < cost {
-		return false
-	}
+	held := math.Max(c.bucket.Fill(now, rate*budgetRate, math.Inf(1)), 0)
 	since := math.Mod(held, cost)
-	c.bucket.Take(held - since)
-	if since > rate*budgetRate*seconds(s.Window)*budgetKeeps {
-		return false
+	turn := held >= cost && since <= window*budgetRate*budgetKeeps
+	if c.bucket.Take(held - since); turn {
+		c.bucket.Take(-cost)
 	}
-	c.bucket.Take(-cost)
-	return true
+	return turn
 }
 
 // price is what a visit takes of a cold budget: its cost, and no less than the mean of what warm ones bore.
