--- a/internal/trips/trips_test.go
+++ b/internal/attempts/attempts_test.go
@@ -1,4 +1,4 @@
-package trips
+package attempts
 
 import (
 	"bufio"
@@ -15,12 +15,12 @@
 	"threadrun/internal/standin"
 )
 
-type host map[Ticket]End
+type host map[AttemptID]End
 
-func (h host) Ended(t Ticket, e *End) { h[t] = *e }
+func (h host) Ended(t AttemptID, e *End) { h[t] = *e }
 
-func (h host) Probed(no uint64, what Sight, _ time.Duration) {
-	h[Ticket{Trip: decide.TripNo(-int(no))}] = End{Word: Word(what)}
+func (h host) Probed(no uint64, what ProbeResult, _ time.Duration) {
+	h[AttemptID{Trip: decide.TripNo(-int(no))}] = End{Word: Word(what)}
 }
 
 func id(n byte) (d ID) {
@@ -29,7 +29,7 @@
 	return d
 }
 
-func yard(t *testing.T, h Host, each int) (*sockets.Engine, *Yard) {
+func pool(t *testing.T, h Host, each int) (*sockets.Engine, *Pool) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	e, err := sockets.New(log, 256)
@@ -40,8 +40,8 @@
 	return e, New(e, log, h, 4, each, 8, time.Second, time.Minute, time.Minute)
 }
 
-func request(n byte, size int) (*Get, []byte) {
-	return &Get{Case: "order", ID: id(n), Object: id(0), Budget: 1_000_000}, make([]byte, size)
+func request(n byte, size int) (*Request, []byte) {
+	return &Request{Case: "order", ID: id(n), Object: id(0), Budget: 1_000_000}, make([]byte, size)
 }
 
 // Of a request that is given up while some of it still waits here, it is proved that it can't arrive: one behind another was held back.
@@ -52,11 +52,11 @@
 	}
 	defer l.Close()
 	h := host{}
-	e, y := yard(t, h, 1)
+	e, y := pool(t, h, 1)
 	huge := 64 << 20
-	first, second := Ticket{Trip: 1}, Ticket{Trip: 2}
+	first, second := AttemptID{Trip: 1}, AttemptID{Trip: 2}
 	e.Do(func() {
-		y.Place(0, l.Addr().String(), false)
+		y.SetAddress(0, l.Addr().String(), false)
 		get, body := request(1, huge)
 		y.Send(first, 0, get, body)
 		get, body = request(2, 5)
@@ -71,10 +71,10 @@
 		t.Fatal(err)
 	}
 	e.Do(func() {
-		if reach := y.Drop(second, 0); reach != Unsent {
+		if reach := y.Cancel(second, 0); reach != Unsent {
 			t.Errorf("behind another request: %s", reaches[reach])
 		}
-		if reach := y.Drop(first, 0); reach != PartSent || y.Open() != 0 {
+		if reach := y.Cancel(first, 0); reach != PartSent || y.Open() != 0 {
 			t.Errorf("alone and half sent: %s, %d connections", reaches[reach], y.Open())
 		}
 	})
@@ -82,22 +82,22 @@
 		t.Errorf("a whole request arrived: %.3q", words)
 	}
 	e.Do(func() { // a connection that does not stand yet: nothing may set out later
-		y.Place(1, "127.0.0.1:1", false)
+		y.SetAddress(1, "127.0.0.1:1", false)
 		get, body := request(3, 5)
-		y.Send(Ticket{Trip: 3}, 1, get, body)
-		if reach := y.Drop(Ticket{Trip: 3}, 1); reach != Unconnected || y.Open() != 0 {
+		y.Send(AttemptID{Trip: 3}, 1, get, body)
+		if reach := y.Cancel(AttemptID{Trip: 3}, 1); reach != Unconnected || y.Open() != 0 {
 			t.Errorf("unconnected: %s, %d connections", reaches[reach], y.Open())
 		}
 	})
 	if len(h) > 0 {
-		t.Errorf("told of trips that were given up: %v", h)
+		t.Errorf("told of attempts that were given up: %v", h)
 	}
 }
 
-// A full yard lets an idle connection go for a cache that has none; an id never goes twice over one connection.
+// A full pool lets an idle connection go for a cache that has none; an id never goes twice over one connection.
 func TestPicking(t *testing.T) {
 	h := host{}
-	e, y := yard(t, h, 2)
+	e, y := pool(t, h, 2)
 	var caches []*standin.Cache
 	for i := 0; i < 5; i++ {
 		c, err := standin.Open("c", "127.0.0.1:0", func(c *standin.Cache) {
@@ -123,14 +123,14 @@
 	}
 	for i, c := range caches {
 		e.Do(func() {
-			y.Place(decide.CacheID(i), c.Address(), false)
+			y.SetAddress(decide.CacheID(i), c.Address(), false)
 			get, body := request(byte(i), 0)
-			y.Send(Ticket{Trip: 10}, decide.CacheID(i), get, body)
-			delete(h, Ticket{Trip: 10})
+			y.Send(AttemptID{Trip: 10}, decide.CacheID(i), get, body)
+			delete(h, AttemptID{Trip: 10})
 		})
 		ended(1)
 		e.Do(func() {
-			end := h[Ticket{Trip: 10}]
+			end := h[AttemptID{Trip: 10}]
 			if end.Word != Data || y.Open() > 4 {
 				t.Errorf("cache %d: %+v, %d connections", i, end.Fault, y.Open())
 			}
@@ -139,9 +139,9 @@
 	e.Do(func() {
 		clear(h)
 		get, body := request(7, 0)
-		y.Send(Ticket{Trip: 1}, 4, get, body)
-		y.Drop(Ticket{Trip: 1}, 4)
-		y.Send(Ticket{Trip: 2}, 4, get, body)
+		y.Send(AttemptID{Trip: 1}, 4, get, body)
+		y.Cancel(AttemptID{Trip: 1}, 4)
+		y.Send(AttemptID{Trip: 2}, 4, get, body)
 	})
 	ended(1)
 	gets := caches[4].Gets()
@@ -154,11 +154,11 @@
 	}
 }
 
-// ends notes how far trips had come.
+// ends notes how far attempts had come.
 type ends []Reach
 
-func (h *ends) Ended(_ Ticket, e *End)              { *h = append(*h, e.Fault.Reach) }
-func (h *ends) Probed(uint64, Sight, time.Duration) {}
+func (h *ends) Ended(_ AttemptID, e *End)                 { *h = append(*h, e.Fault.Reach) }
+func (h *ends) Probed(uint64, ProbeResult, time.Duration) {}
 
 // A connection reset when it is new was taken by a cache that is there; only one that never came up shows it gone. Taken
 // for the same, a few resets had healthy caches rest, and sent them a just-started cache's part for long after.
@@ -166,7 +166,7 @@
 	var h ends
 	y := New(nil, nil, &h, 1, 1, 1, 0, 0, 0)
 	for _, err := range []error{syscall.ECONNRESET, syscall.ECONNREFUSED, io.EOF} {
-		l := &link{yard: y, pool: &pool{}, conn: &sockets.Conn{}, open: []trip{{end: 9}}}
+		l := &connection{pool: y, endpoint: &endpoint{}, conn: &sockets.Conn{}, open: []attempt{{end: 9}}}
 		l.Closed(&sockets.Theirs{Err: err})
 	}
 	if len(h) != 3 || h[0] != Unsent || h[1] != Unconnected || h[2] != Unconnected {
--- a/internal/trips/held_test.go
+++ b/internal/attempts/held_test.go
@@ -1,4 +1,4 @@
-package trips
+package attempts
 
 import (
 	"io"
@@ -28,11 +28,11 @@
 
 func (l *listener) Closed(error) { l.closed++ }
 
-// lateWorld is a yard before one cache, whose connections come up 200 ms late.
+// lateWorld is a pool before one cache, whose connections come up 200 ms late.
 type lateWorld struct {
 	world  *simnet.World
 	engine *sockets.Engine
-	yard   *Yard
+	pool   *Pool
 	ends   host
 	cache  *listener
 }
@@ -49,16 +49,16 @@
 	router, cache := w.Host("router", netip.MustParseAddr("10.0.0.1")), w.Host("cache", netip.MustParseAddr("10.0.0.2"))
 	w.Way(router, cache).Opens = comesUp
 	x := &lateWorld{world: w, engine: sockets.On(router.Start(), log), ends: host{}, cache: &listener{}}
-	x.yard = New(x.engine, log, x.ends, 4, 1, 8, time.Second, time.Minute, time.Minute)
+	x.pool = New(x.engine, log, x.ends, 4, 1, 8, time.Second, time.Minute, time.Minute)
 	far := sockets.On(cache.Start(), log)
 	far.Bound(8)
 	_ = far.Listen(cacheAddress, func(*sockets.Conn) sockets.Owner { return x.cache })
-	x.engine.Do(func() { x.yard.Place(0, cacheAddress, false) })
+	x.engine.Do(func() { x.pool.SetAddress(0, cacheAddress, false) })
 	return x
 }
 
 // at is the ticket of a test's attempt by number.
-func (t Ticket) at(no byte) Ticket {
+func (t AttemptID) at(no byte) AttemptID {
 	t.Trip = decide.TripNo(no)
 	return t
 }
@@ -68,9 +68,9 @@
 	x := newLateWorld()
 	x.engine.Do(func() {
 		get, body := request(1, 0)
-		x.yard.Send(Ticket{Trip: 1}, 0, get, body)
-		if x.yard.Held() != 1 {
-			t.Errorf("%d held back", x.yard.Held())
+		x.pool.Send(AttemptID{Trip: 1}, 0, get, body)
+		if x.pool.Held() != 1 {
+			t.Errorf("%d held back", x.pool.Held())
 		}
 	})
 	x.world.Run(300 * instant.Millisecond)
@@ -78,7 +78,7 @@
 		t.Errorf("the cache read %q", got)
 	}
 	x.engine.Do(func() {
-		if x.yard.Held() != 0 || x.yard.Recall(Ticket{Trip: 1}, 0) {
+		if x.pool.Held() != 0 || x.pool.Recall(AttemptID{Trip: 1}, 0) {
 			t.Error("what has gone out is held or recalled still")
 		}
 	})
@@ -90,11 +90,11 @@
 	x.engine.Do(func() {
 		get, body := request(1, 0)
 		get.Budget = 150_000
-		x.yard.Send(Ticket{Trip: 1}, 0, get, body)
+		x.pool.Send(AttemptID{Trip: 1}, 0, get, body)
 	})
 	x.world.Run(300 * instant.Millisecond)
 	x.engine.Do(func() {
-		if reach := x.yard.Drop(Ticket{Trip: 1}, 0); reach != Unsent {
+		if reach := x.pool.Cancel(AttemptID{Trip: 1}, 0); reach != Unsent {
 			t.Errorf("it came as far as %s", reaches[reach])
 		}
 	})
@@ -109,9 +109,9 @@
 	x.engine.Do(func() {
 		for no := byte(1); no <= 2; no++ {
 			get, body := request(no, 5)
-			x.yard.Send(Ticket{}.at(no), 0, get, body)
+			x.pool.Send(AttemptID{}.at(no), 0, get, body)
 		}
-		if !x.yard.Recall(Ticket{}.at(1), 0) || x.yard.Recall(Ticket{}.at(1), 0) {
+		if !x.pool.Recall(AttemptID{}.at(1), 0) || x.pool.Recall(AttemptID{}.at(1), 0) {
 			t.Error("it can be recalled once")
 		}
 	})
@@ -130,9 +130,9 @@
 	x := newLateWorld()
 	x.engine.Do(func() {
 		get, body := request(1, 0)
-		x.yard.Send(Ticket{}.at(1), 0, get, body)
-		if !x.yard.Recall(Ticket{}.at(1), 0) || x.yard.Open() != 0 || x.yard.Held() != 0 {
-			t.Errorf("%d connections, %d held", x.yard.Open(), x.yard.Held())
+		x.pool.Send(AttemptID{}.at(1), 0, get, body)
+		if !x.pool.Recall(AttemptID{}.at(1), 0) || x.pool.Open() != 0 || x.pool.Held() != 0 {
+			t.Errorf("%d connections, %d held", x.pool.Open(), x.pool.Held())
 		}
 	})
 	if x.world.Run(400 * instant.Millisecond); x.cache.got.Len() > 0 {
@@ -142,19 +142,19 @@
 
 // A cache that goes or starts anew while requests wait for a connection to it: they are told never to have run.
 func TestRetiredWhileConnecting(t *testing.T) {
-	for name, news := range map[string]func(*Yard){
-		"gone": func(y *Yard) { y.Remove(0) },
-		"anew": func(y *Yard) { y.Place(0, cacheAddress, true) },
+	for name, news := range map[string]func(*Pool){
+		"gone": func(y *Pool) { y.Remove(0) },
+		"anew": func(y *Pool) { y.SetAddress(0, cacheAddress, true) },
 	} {
 		x := newLateWorld()
 		x.engine.Do(func() {
 			for no := byte(1); no <= 3; no++ {
 				get, body := request(no, 0)
-				x.yard.Send(Ticket{}.at(no), 0, get, body)
+				x.pool.Send(AttemptID{}.at(no), 0, get, body)
 			}
-			news(x.yard)
-			if len(x.ends) != 3 || x.yard.Open() != 0 || x.yard.Held() != 0 {
-				t.Errorf("%s: %d told, %d connections, %d held", name, len(x.ends), x.yard.Open(), x.yard.Held())
+			news(x.pool)
+			if len(x.ends) != 3 || x.pool.Open() != 0 || x.pool.Held() != 0 {
+				t.Errorf("%s: %d told, %d connections, %d held", name, len(x.ends), x.pool.Open(), x.pool.Held())
 			}
 			for ticket, e := range x.ends {
 				if e.Fault == nil || e.Fault.Reach != Unsent {
--- a/internal/service/alarms.go
+++ b/internal/service/alarms.go
@@ -2,13 +2,13 @@
 
 import (
 	"threadrun/decide"
-	"threadrun/internal/trips"
+	"threadrun/internal/attempts"
 )
 
 // alarm is a moment at which something is due: a trip's limit, or with no visit one of the module's wakes.
 type alarm struct {
 	at   decide.Micros
-	trip trips.Ticket
+	trip attempts.AttemptID
 	wake bool
 }
 
--- a/internal/service/endings.go
+++ b/internal/service/endings.go
@@ -2,39 +2,39 @@
 
 import (
 	"threadrun/decide"
-	"threadrun/internal/trips"
+	"threadrun/internal/attempts"
 )
 
 // ending words the end of a trip for the module. Only what proves that no whole request arrived may say so: a
 // one-shot visit is sent again on its word.
-func ending(e *trips.End) decide.Ending {
+func ending(e *attempts.End) decide.Ending {
 	switch e.Word {
-	case trips.Data, trips.Unchanged:
+	case attempts.Data, attempts.Unchanged:
 		return decide.Delivered
-	case trips.Absent:
+	case attempts.Absent:
 		return decide.Lacking
-	case trips.Full:
+	case attempts.Full:
 		return decide.Refused
-	case trips.Moot:
+	case attempts.Moot:
 		return decide.NeverSent
-	case trips.Failed, trips.Unknown:
+	case attempts.Failed, attempts.Unknown:
 		return decide.Failed
 	}
 	if plant == plantRepeat {
 		return decide.NeverSent
 	}
 	switch e.Fault.Reach {
-	case trips.Unconnected:
+	case attempts.Unconnected:
 		return decide.NoRoute
-	case trips.Unsent, trips.PartSent:
+	case attempts.Unsent, attempts.PartSent:
 		return decide.NeverSent
 	}
 	return decide.Broken // bytes that the kernel took may have arrived
 }
 
 // silence words the end of a trip that ran out of time.
-func silence(r trips.Reach) decide.Ending {
-	if r < trips.Sent {
+func silence(r attempts.Reach) decide.Ending {
+	if r < attempts.Sent {
 		return decide.NeverSent
 	}
 	return decide.TooSlow
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -10,12 +10,12 @@
 
 	"threadrun/background/ageing"
 	"threadrun/decide"
+	"threadrun/internal/attempts"
 	"threadrun/internal/bulletin"
 	"threadrun/internal/deployment"
 	"threadrun/internal/front"
 	"threadrun/internal/mix"
 	"threadrun/internal/sockets"
-	"threadrun/internal/trips"
 	"threadrun/internal/upkeep"
 )
 
@@ -25,7 +25,7 @@
 	log    *logrus.Logger
 	router *decide.Router
 	names  *deployment.Names
-	yard   *trips.Yard
+	pool   *attempts.Pool
 	poll   *bulletin.Poll
 
 	ground  sockets.Ground
@@ -111,9 +111,9 @@
 }
 
 // Attach gives the service its parts; front is the upkeep of its front.
-func (s *Service) Attach(r *decide.Router, n *deployment.Names, y *trips.Yard, p *bulletin.Poll,
+func (s *Service) Attach(r *decide.Router, n *deployment.Names, y *attempts.Pool, p *bulletin.Poll,
 	front func(now time.Time)) {
-	s.router, s.names, s.yard, s.poll, s.front = r, n, y, p, front
+	s.router, s.names, s.pool, s.poll, s.front = r, n, y, p, front
 	s.enter()
 }
 
@@ -166,7 +166,7 @@
 			s.beat = now
 			s.clocks(now)
 			s.engine.Beat(now)
-			s.yard.Beat(now)
+			s.pool.Beat(now)
 			s.poll.Beat(now)
 			s.front(now)
 			if s.upkeep != nil {
@@ -263,7 +263,7 @@
 }
 
 // underWay finds a trip that has not ended, with its visit; o is nil if there is none.
-func (s *Service) underWay(t trips.Ticket) (c *charge, o *out) {
+func (s *Service) underWay(t attempts.AttemptID) (c *charge, o *out) {
 	if c = s.charge(t.Visit); c == nil {
 		return nil, nil
 	}
@@ -330,7 +330,7 @@
 
 // recall takes back the attempts that have not begun and that a test names. The module hears that they never ran, and decides anew.
 func (s *Service) recall(test func(*charge, *out) bool) {
-	if s.yard.Held() == 0 {
+	if s.pool.Held() == 0 {
 		return
 	}
 	for i := range s.charges {
@@ -344,7 +344,7 @@
 func (s *Service) recallFrom(c *charge, end decide.Ending, test func(*out) bool) {
 	for i := range c.out {
 		o := &c.out[i]
-		if !o.over && test(o) && s.yard.Recall(trips.Ticket{Visit: c.visit, Trip: o.trip}, o.cache) {
+		if !o.over && test(o) && s.pool.Recall(attempts.AttemptID{Visit: c.visit, Trip: o.trip}, o.cache) {
 			s.close(c, o, end, nil)
 		}
 	}
@@ -369,13 +369,13 @@
 	c := s.charge(v)
 	n := decide.TripNo(len(c.out))
 	c.out = append(c.out, out{trip: n, cache: e.Cache, source: e.Source, sent: s.now})
-	get := trips.Get{Case: s.names.UseCases[c.ask.Case], Object: c.ask.Object, ID: c.ask.Mark, Part: c.ask.Part,
+	get := attempts.Request{Case: s.names.UseCases[c.ask.Case], Object: c.ask.Object, ID: c.ask.Mark, Part: c.ask.Part,
 		Budget: e.Until - s.now, Rank: e.Rank, Oldest: e.Oldest, Join: e.Join, Held: e.HeldOnly, Renew: e.Renew,
 		Have: c.ask.Have, Key: c.ask.Key}
 	if e.Source != decide.NoCache && e.Source != e.Cache {
 		get.Source = s.listed[e.Source].name
 	}
-	t := trips.Ticket{Visit: v, Trip: n}
+	t := attempts.AttemptID{Visit: v, Trip: n}
 	if s.Stalled() && c.client.Gone(c.no) { // no attempt begins for a client that has gone, told or not
 		s.gone = append(s.gone, v)
 		s.close(c, &c.out[n], decide.Withdrawn, nil)
@@ -383,29 +383,29 @@
 	}
 	s.alarm(alarm{at: e.Until, trip: t})
 	s.trace.sent(c, n, &e, s.now)
-	s.yard.Send(t, e.Cache, &get, c.ask.Body)
+	s.pool.Send(t, e.Cache, &get, c.ask.Body)
 }
 
 // late ends a trip at its limit.
-func (s *Service) late(t trips.Ticket) {
+func (s *Service) late(t attempts.AttemptID) {
 	c, o := s.underWay(t)
 	if o == nil {
 		return
 	}
-	s.close(c, o, silence(s.yard.Drop(t, o.cache)), nil)
+	s.close(c, o, silence(s.pool.Cancel(t, o.cache)), nil)
 }
 
 // Withdraw gives one trip up.
 func (s *Service) Withdraw(v decide.VisitID, n decide.TripNo) {
-	t := trips.Ticket{Visit: v, Trip: n}
+	t := attempts.AttemptID{Visit: v, Trip: n}
 	if c, o := s.underWay(t); o != nil {
-		s.yard.Drop(t, o.cache)
+		s.pool.Cancel(t, o.cache)
 		s.close(c, o, decide.Withdrawn, nil)
 	}
 }
 
-// close notes the end of a trip for the module; e is what the yard told of it, if that told.
-func (s *Service) close(c *charge, o *out, end decide.Ending, e *trips.End) {
+// close notes the end of a trip for the module; e is what the pool told of it, if that told.
+func (s *Service) close(c *charge, o *out, end decide.Ending, e *attempts.End) {
 	o.over = true
 	now := s.clock()
 	rep := decide.Report{Trip: o.trip, Ending: end, Over: end == decide.Delivered, Elapsed: max(now-o.sent, 0)}
@@ -422,15 +422,15 @@
 	s.ends = append(s.ends, ended{c.visit, rep})
 }
 
-// Ended hears from the yard how a trip ended.
-func (s *Service) Ended(t trips.Ticket, e *trips.End) {
+// Ended hears from the pool how a trip ended.
+func (s *Service) Ended(t attempts.AttemptID, e *attempts.End) {
 	c, o := s.underWay(t)
 	if o == nil {
 		return
 	}
 	end := ending(e)
 	if end == decide.Delivered {
-		c.client.Deliver(c.no, e.Field("etag"), e.Body, e.Word == trips.Unchanged)
+		c.client.Deliver(c.no, e.Field("etag"), e.Body, e.Word == attempts.Unchanged)
 	}
 	s.close(c, o, end, e)
 	if end == decide.Delivered {
@@ -541,7 +541,7 @@
 		c.mark, c.tier = mix.Name(x.Name), s.names.Tier(x.Kind)
 		c.ours = c.tier != decide.Edge || s.names.Zone(x.Zone) == s.names.Own
 		if x.State != bulletin.Removed {
-			s.yard.Place(id, x.Address, anew)
+			s.pool.SetAddress(id, x.Address, anew)
 		}
 		s.list = append(s.list, decide.Listed{ID: id, Mark: c.mark, Tier: c.tier,
 			Zone: s.names.Zone(x.Zone), Cell: decide.CellID(x.Cell), Weight: x.Weight,
@@ -549,7 +549,7 @@
 	}
 	for id, c := range s.listed {
 		if c.removed {
-			s.yard.Remove(decide.CacheID(id))
+			s.pool.Remove(decide.CacheID(id))
 		}
 	}
 	s.log.WithFields(logrus.Fields{"whole": whole, "lines": len(list)}).Info("list of caches")
@@ -567,7 +567,7 @@
 }
 
 // number gives a new cache its id, if it can that of one that is gone: else a long day's replacements would fill the
-// memory, here, in the module and in the yard.
+// memory, here, in the module and in the pool.
 func (s *Service) number(name string) (id decide.CacheID, another bool) {
 	for i := range s.listed {
 		if c := &s.listed[i]; c.removed && !s.refers(decide.CacheID(i)) {
@@ -659,13 +659,13 @@
 
 // Probe asks a cache whether it is there.
 func (s *Service) Probe(id decide.CacheID, limit time.Duration) uint64 {
-	return s.yard.Probe(id, limit)
+	return s.pool.Probe(id, limit)
 }
 
-// Probed hears from the yard what a probe showed.
-func (s *Service) Probed(no uint64, what trips.Sight, took time.Duration) {
+// Probed hears from the pool what a probe showed.
+func (s *Service) Probed(no uint64, what attempts.ProbeResult, took time.Duration) {
 	if s.upkeep != nil {
-		s.upkeep.Probed(no, what != trips.Unclear, what == trips.There, took)
+		s.upkeep.Probed(no, what != attempts.Unclear, what == attempts.There, took)
 	}
 }
 
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"threadrun/decide"
+	"threadrun/internal/attempts"
 	"threadrun/internal/deployment"
 	"threadrun/internal/fixed"
 	"threadrun/internal/front"
@@ -22,7 +23,6 @@
 	"threadrun/internal/msgpack"
 	"threadrun/internal/operator"
 	"threadrun/internal/standin"
-	"threadrun/internal/trips"
 )
 
 // The random runs are the same every time.
@@ -477,7 +477,7 @@
 	}
 	b.until("silent connections let go", func() bool {
 		n := 0
-		b.router.engine.Do(func() { n = b.router.desk.yard.Open() })
+		b.router.engine.Do(func() { n = b.router.desk.pool.Open() })
 		return n == 0
 	})
 	for _, c := range b.caches {
@@ -696,7 +696,7 @@
 	})
 	defer b.close()
 	ids := func() (n, pools int) {
-		b.router.engine.Do(func() { n, pools = len(b.router.desk.listed), b.router.desk.yard.Pools() })
+		b.router.engine.Do(func() { n, pools = len(b.router.desk.listed), b.router.desk.pool.Pools() })
 		return n, pools
 	}
 	id := func(name string) (id decide.CacheID) {
@@ -897,22 +897,24 @@
 
 // What proves that a visit did not run, and what does not.
 func TestEndings(t *testing.T) {
-	fault := func(r trips.Reach) *trips.End { return &trips.End{Fault: &trips.Fault{Reach: r, Err: io.EOF}} }
+	fault := func(r attempts.Reach) *attempts.End {
+		return &attempts.End{Fault: &attempts.Fault{Reach: r, Err: io.EOF}}
+	}
 	for _, c := range []struct {
-		end  *trips.End
+		end  *attempts.End
 		want decide.Ending
 	}{
-		{fault(trips.Unconnected), decide.NoRoute}, {fault(trips.Unsent), decide.NeverSent},
-		{fault(trips.PartSent), decide.NeverSent}, {fault(trips.Sent), decide.Broken},
-		{fault(trips.Answering), decide.Broken}, {&trips.End{Word: trips.Moot}, decide.NeverSent},
-		{&trips.End{Word: trips.Unknown}, decide.Failed}, {&trips.End{Word: trips.Full}, decide.Refused},
-		{&trips.End{Word: trips.Absent}, decide.Lacking}, {&trips.End{Word: trips.Unchanged}, decide.Delivered},
+		{fault(attempts.Unconnected), decide.NoRoute}, {fault(attempts.Unsent), decide.NeverSent},
+		{fault(attempts.PartSent), decide.NeverSent}, {fault(attempts.Sent), decide.Broken},
+		{fault(attempts.Answering), decide.Broken}, {&attempts.End{Word: attempts.Moot}, decide.NeverSent},
+		{&attempts.End{Word: attempts.Unknown}, decide.Failed}, {&attempts.End{Word: attempts.Full}, decide.Refused},
+		{&attempts.End{Word: attempts.Absent}, decide.Lacking}, {&attempts.End{Word: attempts.Unchanged}, decide.Delivered},
 	} {
 		if got := ending(c.end); got != c.want {
 			t.Errorf("%+v ends as %d, not %d", c.end, got, c.want)
 		}
 	}
-	if silence(trips.PartSent) != decide.NeverSent || silence(trips.Sent) != decide.TooSlow {
+	if silence(attempts.PartSent) != decide.NeverSent || silence(attempts.Sent) != decide.TooSlow {
 		t.Error("silence")
 	}
 }
--- a/internal/service/start.go
+++ b/internal/service/start.go
@@ -7,12 +7,12 @@
 	"github.com/sirupsen/logrus"
 
 	"threadrun/decide"
+	"threadrun/internal/attempts"
 	"threadrun/internal/bulletin"
 	"threadrun/internal/deployment"
 	"threadrun/internal/front"
 	"threadrun/internal/operator"
 	"threadrun/internal/sockets"
-	"threadrun/internal/trips"
 	"threadrun/internal/upkeep"
 )
 
@@ -69,10 +69,10 @@
 	if err != nil {
 		return nil, file.Fault(err)
 	}
-	yard := trips.New(engine, log, desk, caches, each, streams, span(connect), span(idle-idle/idleShare), askAfter)
+	pool := attempts.New(engine, log, desk, caches, each, streams, span(connect), span(idle-idle/idleShare), askAfter)
 	poll := bulletin.New(engine, log, desk, file.Board, wait, slack)
 	rpc := front.NewRPC(engine, log, desk, backlog, room, clients, clientIdle)
-	desk.Attach(router, names, yard, poll, rpc.Beat)
+	desk.Attach(router, names, pool, poll, rpc.Beat)
 	engine.Do(func() { err = poll.Known(file.Known) })
 	if err != nil {
 		return nil, file.Fault(fmt.Errorf("key 'known': %w", err))
@@ -146,7 +146,7 @@
 	r.engine.Do(func() {
 		bound(r.engine, clients, room)
 		r.rpc.Bound(backlog, room, clients, idle)
-		r.desk.yard.Bound(caches, each)
+		r.desk.pool.Bound(caches, each)
 		r.desk.poll.Move(file.Board, wait, slack)
 	})
 	keys := append(file.Held(r.file), spec.Held(r.spec)...)
--- a/internal/service/trace.go
+++ b/internal/service/trace.go
@@ -4,8 +4,8 @@
 	"github.com/sirupsen/logrus"
 
 	"threadrun/decide"
+	"threadrun/internal/attempts"
 	"threadrun/internal/deployment"
-	"threadrun/internal/trips"
 )
 
 // trace prints what becomes of each visit, for a play whose losses are to be taken apart. It is off unless the operator's
@@ -42,7 +42,7 @@
 		"rank": e.Rank, "held": e.HeldOnly, "limit_us": int64(e.Until - at)})
 }
 
-func (t *trace) ended(c *charge, o *out, end decide.Ending, shown decide.Trace, e *trips.End, at decide.Micros) {
+func (t *trace) ended(c *charge, o *out, end decide.Ending, shown decide.Trace, e *attempts.End, at decide.Micros) {
 	if t == nil {
 		return
 	}
