--- a/internal/bulletin/bulletin.go
+++ b/internal/discovery/discovery.go
@@ -1,6 +1,6 @@
-// Package bulletin follows the numbered events of the bulletin by a long poll. It hands them on in order, each
+// Package discovery follows the numbered events of the bulletin by a long poll. It hands them on in order, each
 // once, and decides nothing.
-package bulletin
+package discovery
 
 import (
 	"errors"
@@ -16,8 +16,8 @@
 	"threadrun/internal/sockets"
 )
 
-// Entry is one line of the list of caches, in the bulletin's own names.
-type Entry struct {
+// Server is one line of the list of caches, in the bulletin's own names.
+type Server struct {
 	Name, Address, Zone, Kind string
 	Cell                      int
 	State                     State
@@ -34,10 +34,10 @@
 	Removed
 )
 
-// Reader takes what the bulletin tells.
-type Reader interface {
-	Roster(whole bool, list []Entry)
-	Recalled(object string, whole bool, group int, issued int64) // issued: Unix ms
+// Listener takes what the bulletin tells.
+type Listener interface {
+	Roster(whole bool, list []Server)
+	Purged(object string, whole bool, group int, issued int64) // issued: Unix ms
 	Lost()                                                       // no word for now; the list in hand stays
 	Found()
 	Told() // a poll was answered: what there is up to now has been told
@@ -54,11 +54,11 @@
 	errEnded = errors.New("connection ended by the bulletin")
 )
 
-// Poll keeps one request out at a time.
-type Poll struct {
+// Watch keeps one request out at a time.
+type Watch struct {
 	engine  *sockets.Engine
 	log     *logrus.Logger
-	reader  Reader
+	reader  Listener
 	address string
 	wait    time.Duration // that the bulletin may hold a request
 	slack   time.Duration // beyond it, until a poll is taken for dead; also for the connect
@@ -75,16 +75,16 @@
 }
 
 // New makes a poll that has seen nothing yet.
-func New(e *sockets.Engine, log *logrus.Logger, r Reader, address string, wait, slack time.Duration) *Poll {
-	return &Poll{engine: e, log: log, reader: r, address: address, wait: wait, slack: slack, pause: pauseFirst}
+func New(e *sockets.Engine, log *logrus.Logger, r Listener, address string, wait, slack time.Duration) *Watch {
+	return &Watch{engine: e, log: log, reader: r, address: address, wait: wait, slack: slack, pause: pauseFirst}
 }
 
 // Known takes the events of the start.
-func (p *Poll) Known(v *fastjson.Value) error { return p.take(v) }
+func (p *Watch) Known(v *fastjson.Value) error { return p.take(v) }
 
 // Move has the poll go on elsewhere, or in another way, with the number it has. What is out is given up: the place it
 // went to may tell nothing more.
-func (p *Poll) Move(address string, wait, slack time.Duration) {
+func (p *Watch) Move(address string, wait, slack time.Duration) {
 	if p.address == address && p.wait == wait && p.slack == slack {
 		return
 	}
@@ -96,7 +96,7 @@
 }
 
 // Beat keeps the poll going. It is called under the lock, some tens of times a second.
-func (p *Poll) Beat(now time.Time) {
+func (p *Watch) Beat(now time.Time) {
 	switch {
 	case p.conn == nil:
 		if !now.Before(p.again) {
@@ -109,7 +109,7 @@
 	}
 }
 
-func (p *Poll) ask() {
+func (p *Watch) ask() {
 	p.asked, p.limit = true, p.engine.Now().Add(p.wait+p.slack)
 	path := "/bulletins?after=" + strconv.FormatInt(p.last, 10) + "&patience=" +
 		strconv.FormatInt(p.wait.Milliseconds(), 10)
@@ -117,12 +117,12 @@
 }
 
 // Data takes bytes of an answer.
-func (p *Poll) Data(b []byte) error {
+func (p *Watch) Data(b []byte) error {
 	p.in = append(p.in, b...)
 	return p.answer(false)
 }
 
-func (p *Poll) answer(ended bool) error {
+func (p *Watch) answer(ended bool) error {
 	a, err := http1.Parse(p.in, bodyMost, ended)
 	if errors.Is(err, http1.ErrShort) {
 		return nil
@@ -147,7 +147,7 @@
 	p.pause, p.asked = pauseFirst, false
 	if p.lost {
 		p.lost = false
-		p.log.WithField("no", p.last).Info("bulletin: found again")
+		p.log.WithField("no", p.last).Info("discovery: found again")
 		p.reader.Found()
 	}
 	p.reader.Told()
@@ -166,7 +166,7 @@
 }
 
 // Closed hears that the connection has ended.
-func (p *Poll) Closed(err error) {
+func (p *Watch) Closed(err error) {
 	if p.asked && len(p.in) > 0 {
 		if _ = p.answer(true); !p.asked {
 			return
@@ -178,27 +178,27 @@
 }
 
 // fail gives up the request that is out; the next follows after a pause that grows, so that no loop runs hot.
-func (p *Poll) fail(err error) {
+func (p *Watch) fail(err error) {
 	p.conn.Close()
 	p.conn, p.asked = nil, false
 	p.again = p.engine.Now().Add(p.pause)
 	p.pause = min(2*p.pause, pauseMost)
 	if !p.lost {
 		p.lost = true
-		p.log.WithError(err).WithField("no", p.last).Warn("bulletin: lost")
+		p.log.WithError(err).WithField("no", p.last).Warn("discovery: lost")
 		p.reader.Lost()
 	}
 }
 
 // take applies an answer's events that are next. One that repeats is passed over; one with a gap before it waits
 // for the missing one, asked for again, a few times.
-func (p *Poll) take(v *fastjson.Value) error {
+func (p *Watch) take(v *fastjson.Value) error {
 	no, ok := whole(v, "no")
 	if !ok {
 		return errors.New("no number in 'no'")
 	}
 	if no < p.last { // numbered anew: all of it is news
-		p.log.WithFields(logrus.Fields{"had": p.last, "no": no}).Warn("bulletin: numbers start anew")
+		p.log.WithFields(logrus.Fields{"had": p.last, "no": no}).Warn("discovery: numbers start anew")
 		p.last = 0
 		if len(v.GetArray("items")) == 0 {
 			return nil
@@ -211,19 +211,19 @@
 		}
 		if p.last > 0 && n > p.last+1 && p.gaps < 3 {
 			p.gaps++
-			p.log.WithFields(logrus.Fields{"had": p.last, "no": n}).Warn("bulletin: events missing, asked again")
+			p.log.WithFields(logrus.Fields{"had": p.last, "no": n}).Warn("discovery: events missing, asked again")
 			return nil
 		}
 		p.gaps = 0
 		if err := p.apply(item); err != nil {
-			p.log.WithError(err).WithField("no", n).Warn("bulletin: item skipped")
+			p.log.WithError(err).WithField("no", n).Warn("discovery: item skipped")
 		}
 		p.last = n
 	}
 	return nil
 }
 
-func (p *Poll) apply(item *fastjson.Value) error {
+func (p *Watch) apply(item *fastjson.Value) error {
 	if r := item.Get("roster"); r != nil {
 		list, err := roster(r, p.log)
 		if err == nil {
@@ -240,14 +240,14 @@
 		return errors.New("recall without 'issued'")
 	}
 	if name := r.GetStringBytes("item"); len(name) > 0 {
-		p.reader.Recalled(string(name), false, 0, issued)
+		p.reader.Purged(string(name), false, 0, issued)
 		return nil
 	}
 	group, ok := whole(r, "lot")
 	if !ok {
 		return errors.New("recall of neither 'item' nor 'lot'")
 	}
-	p.reader.Recalled("", true, int(group), issued)
+	p.reader.Purged("", true, int(group), issued)
 	return nil
 }
 
@@ -261,13 +261,13 @@
 }
 
 // roster reads a list of caches. One unusable line does not cost the others.
-func roster(r *fastjson.Value, log *logrus.Logger) ([]Entry, error) {
+func roster(r *fastjson.Value, log *logrus.Logger) ([]Server, error) {
 	if t := r.Get("targets"); t == nil || t.Type() != fastjson.TypeArray {
 		return nil, errors.New("roster without 'targets'")
 	}
-	var list []Entry
+	var list []Server
 	for _, t := range r.GetArray("targets") {
-		e := Entry{Name: string(t.GetStringBytes("uid")), Address: string(t.GetStringBytes("endpoint")),
+		e := Server{Name: string(t.GetStringBytes("uid")), Address: string(t.GetStringBytes("endpoint")),
 			Zone: string(t.GetStringBytes("az")), Kind: string(t.GetStringBytes("model")),
 			Cell: t.GetInt("pod_group"), Weight: t.GetFloat64("capacity_hint"), Started: int64(t.GetFloat64("boot_ms"))}
 		_, err := netip.ParseAddrPort(e.Address)
@@ -280,7 +280,7 @@
 			e.State = Removed
 		default:
 			log.WithFields(logrus.Fields{"uid": e.Name, "state": state, "endpoint": e.Address}).
-				Warn("bulletin: line of the list skipped")
+				Warn("discovery: line of the list skipped")
 			continue
 		}
 		list = append(list, e)
--- a/internal/bulletin/bulletin_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,4 +1,4 @@
-package bulletin
+package discovery
 
 import (
 	"fmt"
@@ -18,14 +18,14 @@
 // told notes what the bulletin tells.
 type told struct{ lines []string }
 
-func (r *told) Roster(whole bool, list []Entry) {
+func (r *told) Roster(whole bool, list []Server) {
 	for _, e := range list {
 		r.lines = append(r.lines, fmt.Sprint(whole, " ", e.Name, " ", e.State))
 	}
 }
 func (r *told) Told() {}
 
-func (r *told) Recalled(object string, whole bool, group int, issued int64) {
+func (r *told) Purged(object string, whole bool, group int, issued int64) {
 	r.lines = append(r.lines, fmt.Sprintf("%s%v%d%d", object, whole, group, issued))
 }
 func (r *told) Lost()  { r.lines = append(r.lines, "lost") }
--- /dev/null
+++ b/internal/front/fields.go
@@ -0,0 +1,151 @@
+package front
+
+import (
+	"bytes"
+	"strconv"
+
+	"threadrun/decide"
+	"threadrun/internal/msgpack"
+)
+
+// fieldBits are the fields that count, each with its bit; others are passed over. The first five are needed.
+var fieldBits = map[string]int{"trace": 1, "entity": 2, "piece": 4, "lot": 8, "patience": 16, "size": 32, "ver": 64, "nonce": 128, "customer": 256}
+
+const needed = 1 | 2 | 4 | 8 | 16
+
+// read checks all that a client says before any of it is passed on.
+func (c *connection) read(r *msgpack.Reader, method []byte, a *Request) error {
+	use, ok := c.front.handler.UseCase(method)
+	if !ok {
+		return errUseCase
+	}
+	a.Case, a.Tenant = use, decide.NoTenant
+	args := r.Array()
+	if r.Err() != nil || args < 1 {
+		return errMissing
+	}
+	seen := 0
+	for pairs := r.Map(); pairs > 0; pairs-- {
+		key := r.Bytes()
+		if r.Err() != nil {
+			return errField
+		}
+		bit := fieldBits[string(key)]
+		if bit == 0 {
+			r.Skip()
+			continue
+		}
+		if k := r.Peek(); k != msgpack.Str && k != msgpack.Bin {
+			return errField
+		}
+		value := r.Bytes()
+		ok := true
+		switch string(key) {
+		case "trace":
+			ok = copyMark(&a.Mark, value)
+		case "entity":
+			ok = copyMark(&a.Object, value)
+		case "piece":
+			var n uint64
+			n, ok = digits(value, 1<<30)
+			a.Part = int(n)
+		case "lot":
+			var n uint64
+			n, ok = digits(value, 255)
+			a.Group = decide.GroupID(n)
+		case "patience":
+			a.Patience, ok = span(value)
+		case "size":
+			a.KB, ok = decimal(value)
+		case "ver":
+			ok = word(value)
+			a.Have = value
+		case "nonce":
+			ok = word(value)
+			a.Key = value
+		case "customer":
+			a.Tenant = c.front.handler.Tenant(value)
+		}
+		if !ok {
+			return errField
+		}
+		if seen&bit != 0 {
+			return errDoubled
+		}
+		seen |= bit
+	}
+	if r.Err() != nil {
+		return errField
+	}
+	if seen&needed != needed {
+		return errMissing
+	}
+	if args > 1 {
+		if r.Peek() == msgpack.Nil {
+			return nil
+		}
+		if a.Body = r.Bytes(); r.Err() != nil {
+			return errBody
+		}
+		if len(a.Body) > bodyMost {
+			return errTooLarge
+		}
+	}
+	return nil
+}
+
+func copyMark(m *TraceID, b []byte) bool {
+	if len(b) != len(m) {
+		return false
+	}
+	for i, c := range b {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+		m[i] = c
+	}
+	return true
+}
+
+func digits(b []byte, most uint64) (uint64, bool) {
+	if len(b) == 0 || len(b) > 12 {
+		return 0, false
+	}
+	var n uint64
+	for _, c := range b {
+		if c < '0' || c > '9' {
+			return 0, false
+		}
+		n = n*10 + uint64(c-'0')
+	}
+	return n, n <= most
+}
+
+// decimal reads a plain number, not below 0.
+func decimal(b []byte) (float64, bool) {
+	if len(b) == 0 || len(b) > 24 || bytes.ContainsAny(b, "xXpP_iInN") {
+		return 0, false
+	}
+	x, err := strconv.ParseFloat(string(b), 64)
+	return x, err == nil && x >= 0 && x < 1e9
+}
+
+// span reads milliseconds; what is below 0 is no time at all.
+func span(b []byte) (decide.Micros, bool) {
+	if len(b) > 1 && b[0] == '-' {
+		_, ok := decimal(b[1:])
+		return 0, ok
+	}
+	ms, ok := decimal(b)
+	return decide.Micros(ms * 1000), ok
+}
+
+// word checks a tag that is to stand in a list of fields.
+func word(b []byte) bool {
+	for _, c := range b {
+		if c <= ' ' || c == ',' || c >= 0x7f {
+			return false
+		}
+	}
+	return len(b) <= tagMost
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -1,17 +1,17 @@
 // Package front holds what clients' protocols have in common, and the platform's own: MessagePack-RPC over TCP.
-// Another front speaks another protocol to its clients and hands its visits over in the same way.
+// Another front speaks another protocol to its clients and hands its requests over in the same way.
 package front
 
 import "threadrun/decide"
 
-// Mark is a visit's own id, 16 hex digits, given by the client.
-type Mark = [16]byte
+// TraceID is a request's own id, 16 hex digits, given by the client.
+type TraceID = [16]byte
 
-// Ask is one visit as a client asks for it. Its bytes are good within the call only.
-type Ask struct {
+// Request is one request as a client asks for it. Its bytes are good within the call only.
+type Request struct {
 	Case     decide.UseCaseID
-	Mark     Mark
-	Object   Mark
+	Mark     TraceID
+	Object   TraceID
 	Part     int
 	Group    decide.GroupID
 	Patience decide.Micros
@@ -24,22 +24,22 @@
 	Gap      decide.Micros // with that
 }
 
-// Client takes the one answer to each of its visits, under the number it gave the visit.
+// Client takes the one answer to each of its requests, under the number it gave the request.
 type Client interface {
-	Deliver(no uint64, tag, body []byte, unchanged bool)
-	Defer(no uint64, comeback decide.Micros) // 0: the client is not told when to come back
-	Scrap(no uint64)
-	Assigned(no uint64, v decide.VisitID) // the router's name for the visit
+	Answer(no uint64, tag, body []byte, unchanged bool)
+	Reject(no uint64, comeback decide.Micros) // 0: the client is not told when to come back
+	Fail(no uint64)
+	Assigned(no uint64, v decide.VisitID) // the router's name for the request
 	// Gone tells whether the client has cancelled a request, or closed its connection, in what has come from it and was not read yet.
 	Gone(no uint64) bool
 }
 
-// Visits is what a front hands its visits to.
-type Visits interface {
+// Handler is what a front hands its requests to.
+type Handler interface {
 	Ready() bool // false before the start and at the end
 	UseCase(name []byte) (decide.UseCaseID, bool)
 	Tenant(name []byte) decide.TenantID
-	Arrive(from Client, no uint64, ask *Ask) bool // false: its mark is that of a visit in hand, and it is not taken
+	Arrive(from Client, no uint64, ask *Request) bool // false: its mark is that of a request in hand, and it is not taken
 	Left(v decide.VisitID)
 	Stalled() bool // the router got no turn for long: what it reads now may be old, and what follows it may have come as well
 }
--- a/internal/front/rpc_test.go
+++ b/internal/front/rpc_test.go
@@ -14,7 +14,7 @@
 	"threadrun/internal/standin"
 )
 
-// desk takes visits and answers none.
+// desk takes requests and answers none.
 type desk struct {
 	taken, left int
 	stalled     bool
@@ -24,7 +24,7 @@
 func (d *desk) Ready() bool                             { return true }
 func (d *desk) UseCase([]byte) (decide.UseCaseID, bool) { return 0, true }
 func (d *desk) Tenant([]byte) decide.TenantID           { return decide.NoTenant }
-func (d *desk) Arrive(c Client, _ uint64, _ *Ask) bool {
+func (d *desk) Arrive(c Client, _ uint64, _ *Request) bool {
 	if d.taken++; d.first == nil {
 		d.first = c
 	}
@@ -88,28 +88,28 @@
 			}
 		})
 	}
-	beat(sayWithin / 2)
+	beat(completeWithin / 2)
 	clients[1].Write(whole[20:30]) // a few bytes more buy no time
 	time.Sleep(5 * time.Millisecond)
-	beat(sayWithin - 500*time.Millisecond)
+	beat(completeWithin - 500*time.Millisecond)
 	var held int
 	e.Do(func() { held = len(rpc.conns) })
 	if held != 4 {
 		t.Errorf("%d of 4 left too early", held)
 	}
-	beat(sayWithin + time.Millisecond)
+	beat(completeWithin + time.Millisecond)
 	e.Do(func() {
 		held = len(rpc.conns)
 		for c := range rpc.conns { // the one that has asked and owes the rest of a request is ended once it has its answer
 			if c.in.Len() > 0 && len(c.open) == 1 {
-				c.Defer(c.open[0].no, 0)
+				c.Reject(c.open[0].no, 0)
 			}
 		}
 	})
 	if held != 2 {
 		t.Errorf("%d left, not the two that have asked", held)
 	}
-	beat(sayWithin + time.Millisecond)
+	beat(completeWithin + time.Millisecond)
 	for i, c := range clients[:3] {
 		select {
 		case <-c.Ended():
@@ -130,7 +130,7 @@
 	e, rpc, door := open(t, d, 1<<20)
 	defer e.Stop()
 	var clients [3]*standin.Client
-	var callers [3]*caller
+	var callers [3]*connection
 	for i := range clients {
 		var err error
 		if clients[i], err = standin.Connect(door); err != nil {
@@ -208,8 +208,8 @@
 	var held int
 	e.Do(func() {
 		held = rpc.bodies
-		d.first.Defer(1, 1500)
-		d.first.Defer(1, 1500)
+		d.first.Reject(1, 1500)
+		d.first.Reject(1, 1500)
 		held -= rpc.bodies
 	})
 	if word := <-shed; word != "Shed 2" || held != bodyMost {
@@ -264,7 +264,7 @@
 	no, answer := client.Ask("page", standin.Visit(1, "00000000000000aa", time.Second), nil)
 	client.Write([]byte{0xc1, 0xff, 0x00})
 	client.Write(standin.Request(no+1, "page", standin.Visit(2, "00000000000000aa", time.Second), nil))
-	var c *caller
+	var c *connection
 	until(t, e, "the broken message was not read", func() bool {
 		for c = range rpc.conns {
 		}
@@ -275,7 +275,7 @@
 		if len(rpc.conns) != 1 || d.left != 0 {
 			t.Error("it ended with a request that is owed its answer")
 		}
-		d.first.Defer(1, 0)
+		d.first.Reject(1, 0)
 		rpc.Beat(time.Now())
 		if len(rpc.conns) != 1 {
 			t.Error("it ended before its answer can have arrived")
@@ -334,7 +334,7 @@
 	cancel := []byte("\x93\x02\xa6giveUp\x91\x01")
 	e.Do(func() { _, _ = conn.Write(append(append(one, two...), cancel...)) })
 	until(t, e, "nothing was taken", func() bool { return d.taken > 0 })
-	var c *caller
+	var c *connection
 	until(t, e, "not read", func() bool {
 		for c = range rpc.conns {
 		}
--- /dev/null
+++ b/internal/service/caches.go
@@ -0,0 +1,192 @@
+package service
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"threadrun/decide"
+	"threadrun/internal/attempts"
+	"threadrun/internal/discovery"
+	"threadrun/internal/mix"
+)
+
+// cache is what sockets need of one.
+type cache struct {
+	name    string
+	boot    int64         // Unix ms, as listed
+	started decide.Micros // the same on our clock
+	removed bool
+	changed bool // by the last list: it drains, is gone or has started anew
+	mark    uint64
+	tier    decide.Tier
+	ours    bool // of this branch, or a parent
+}
+
+// run names a cache in one of its starts: what it held before is gone.
+func (c *cache) run() uint64 { return mix.Pair(c.mark, uint64(c.boot)) }
+
+// Roster takes a list of caches from the bulletin.
+func (s *Service) Roster(whole bool, list []discovery.Server) {
+	s.list = s.list[:0]
+	for i := range s.listed {
+		s.listed[i].changed = false
+	}
+	if whole {
+		for i := range s.listed {
+			s.listed[i].changed = !s.listed[i].removed
+			s.listed[i].removed = true
+		}
+		for _, x := range list { // before any id of one that stays could go to another
+			if id, ok := s.caches[x.Name]; ok {
+				s.listed[id].removed, s.listed[id].changed = false, false
+			}
+		}
+	}
+	for _, x := range list {
+		id, ok := s.caches[x.Name]
+		another := false
+		if !ok && x.State == discovery.Removed {
+			continue
+		} else if !ok {
+			id, another = s.number(x.Name)
+			s.log.WithFields(logrus.Fields{"cache": id, "uid": x.Name, "endpoint": x.Address, "kind": x.Kind}).
+				Info("cache listed")
+		}
+		c := &s.listed[id]
+		anew := another || c.boot != x.Started
+		if anew {
+			c.started = 0
+			if x.Started > 0 {
+				c.started = s.own(x.Started)
+			}
+		}
+		c.boot, c.removed = x.Started, x.State == discovery.Removed
+		c.changed = anew || x.State != discovery.Up
+		c.mark, c.tier = mix.Name(x.Name), s.names.Tier(x.Kind)
+		c.ours = c.tier != decide.Edge || s.names.Zone(x.Zone) == s.names.Own
+		if x.State != discovery.Removed {
+			s.pool.SetAddress(id, x.Address, anew)
+		}
+		s.list = append(s.list, decide.Listed{ID: id, Mark: c.mark, Tier: c.tier,
+			Zone: s.names.Zone(x.Zone), Cell: decide.CellID(x.Cell), Weight: x.Weight,
+			Started: c.started, Standing: standings[x.State], Anew: another})
+	}
+	for id, c := range s.listed {
+		if c.removed {
+			s.pool.Remove(decide.CacheID(id))
+		}
+	}
+	s.log.WithFields(logrus.Fields{"whole": whole, "lines": len(list)}).Info("list of caches")
+	if plant == plantDrain {
+		s.planted.hold(s.list)
+	}
+	s.enter()
+	s.router.List(s.list, whole)
+	s.recall(func(_ *request, o *attempt) bool { return s.changed(o.cache) || s.changed(o.source) })
+}
+
+// changed tells whether the list that came last says that a cache is not up, or has started anew.
+func (s *Service) changed(id decide.CacheID) bool {
+	return id != decide.NoCache && s.listed[id].changed
+}
+
+// number gives a new cache its id, if it can that of one that is gone: else a long day's replacements would fill the
+// memory, here, in the module and in the pool.
+func (s *Service) number(name string) (id decide.CacheID, another bool) {
+	for i := range s.listed {
+		if c := &s.listed[i]; c.removed && !s.refers(decide.CacheID(i)) {
+			delete(s.caches, c.name)
+			*c = cache{name: name}
+			s.caches[name] = decide.CacheID(i)
+			return decide.CacheID(i), true
+		}
+	}
+	s.caches[name] = decide.CacheID(len(s.listed))
+	s.listed = append(s.listed, cache{name: name})
+	return s.caches[name], false
+}
+
+// refers tells whether a visit in hand has been at a cache, or had it as its source, be that trip over or not: the
+// module goes by where a visit has been.
+func (s *Service) refers(id decide.CacheID) bool {
+	for i := range s.charges {
+		for _, o := range s.charges[i].out {
+			if o.cache == id || o.source == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+var standings = [...]decide.Standing{decide.Up, decide.Draining, decide.Gone}
+
+// Purged takes a purge from the bulletin.
+func (s *Service) Purged(object string, whole bool, group int, issued int64) {
+	if plant == plantPurge && s.underWayOf(object) {
+		return
+	}
+	s.enter()
+	ago := max(s.now-s.own(issued), 0)
+	s.router.Purged(decide.ObjectID(mix.Name(object)), decide.GroupID(group), whole, ago)
+	s.recall(func(c *request, _ *attempt) bool { // its accepted age was reckoned before the purge
+		return whole && c.ask.Group == decide.GroupID(group) || !whole && string(c.ask.Object[:]) == object
+	})
+	if s.upkeep != nil {
+		s.upkeep.Purged(mix.Name(object), group, whole, s.now-ago)
+	}
+}
+
+// Told hears that a poll of the bulletin was answered.
+func (s *Service) Told() {
+	if plant == plantDrain {
+		s.planted.told(s.clock())
+	}
+	if s.upkeep != nil {
+		s.upkeep.Caught()
+	}
+}
+
+// Caches lists the caches of this branch, and parents and the origin.
+func (s *Service) Caches(f func(id decide.CacheID, mark uint64, tier decide.Tier)) {
+	for i := range s.listed {
+		if c := &s.listed[i]; !c.removed && c.ours {
+			f(decide.CacheID(i), c.mark, c.tier)
+		}
+	}
+}
+
+// Bears finds a cache of this branch by its name in one of its starts; NoCache if it is gone, or has started anew.
+func (s *Service) Bears(name uint64) decide.CacheID {
+	for i := range s.listed {
+		if c := &s.listed[i]; !c.removed && c.ours && c.run() == name {
+			return decide.CacheID(i)
+		}
+	}
+	return decide.NoCache
+}
+
+// Tier tells what a cache is.
+func (s *Service) Tier(id decide.CacheID) decide.Tier { return s.listed[id].tier }
+
+// Probe asks a cache whether it is there.
+func (s *Service) Probe(id decide.CacheID, limit time.Duration) uint64 {
+	return s.pool.Probe(id, limit)
+}
+
+// Probed hears from the pool what a probe showed.
+func (s *Service) Probed(no uint64, what attempts.ProbeResult, took time.Duration) {
+	if s.upkeep != nil {
+		s.upkeep.Probed(no, what != attempts.Unclear, what == attempts.There, took)
+	}
+}
+
+// Lost hears that the bulletin is out of reach.
+func (s *Service) Lost() {
+	s.enter()
+	s.router.ListLost()
+}
+
+// Found hears that the bulletin is back; its events have been told already.
+func (s *Service) Found() {}
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -277,7 +277,7 @@
 	}
 	var tenants []decide.TenantID
 	b.router.engine.Do(func() {
-		tenants = append(tenants, asked(&front.Ask{Tenant: 1}).Tenant, asked(&front.Ask{Tenant: decide.NoTenant}).Tenant)
+		tenants = append(tenants, asked(&front.Request{Tenant: 1}).Tenant, asked(&front.Request{Tenant: decide.NoTenant}).Tenant)
 	})
 	if tenants[0] != 1 || tenants[1] != decide.NoTenant {
 		t.Errorf("handed to the module as %v", tenants)
--- a/internal/service/start.go
+++ b/internal/service/start.go
@@ -8,8 +8,8 @@
 
 	"threadrun/decide"
 	"threadrun/internal/attempts"
-	"threadrun/internal/bulletin"
 	"threadrun/internal/deployment"
+	"threadrun/internal/discovery"
 	"threadrun/internal/front"
 	"threadrun/internal/operator"
 	"threadrun/internal/sockets"
@@ -70,7 +70,7 @@
 		return nil, file.Fault(err)
 	}
 	pool := attempts.New(engine, log, desk, caches, each, streams, span(connect), span(idle-idle/idleShare), askAfter)
-	poll := bulletin.New(engine, log, desk, file.Board, wait, slack)
+	poll := discovery.New(engine, log, desk, file.Board, wait, slack)
 	rpc := front.NewRPC(engine, log, desk, backlog, room, clients, clientIdle)
 	desk.Attach(router, names, pool, poll, rpc.Beat)
 	engine.Do(func() { err = poll.Known(file.Known) })
@@ -147,7 +147,7 @@
 		bound(r.engine, clients, room)
 		r.rpc.Bound(backlog, room, clients, idle)
 		r.desk.pool.Bound(caches, each)
-		r.desk.poll.Move(file.Board, wait, slack)
+		r.desk.watch.Move(file.Board, wait, slack)
 	})
 	keys := append(file.Held(r.file), spec.Held(r.spec)...)
 	if r.desk.upkeep == nil && upkeep.Wanted(spec) {
--- a/internal/service/trace.go
+++ b/internal/service/trace.go
@@ -15,12 +15,12 @@
 	names *deployment.Names
 }
 
-func (t *trace) line(c *charge, at decide.Micros, what string, f logrus.Fields) {
+func (t *trace) line(c *request, at decide.Micros, what string, f logrus.Fields) {
 	f["id"], f["after_us"] = string(c.ask.Mark[:]), int64(at-c.came)
 	t.log.WithFields(f).Info("visit " + what)
 }
 
-func (t *trace) came(c *charge, at decide.Micros) {
+func (t *trace) came(c *request, at decide.Micros) {
 	if t == nil {
 		return
 	}
@@ -34,7 +34,7 @@
 		"object": string(c.ask.Object[:]), "part": c.ask.Part})
 }
 
-func (t *trace) sent(c *charge, n decide.TripNo, e *decide.Errand, at decide.Micros) {
+func (t *trace) sent(c *request, n decide.TripNo, e *decide.Errand, at decide.Micros) {
 	if t == nil {
 		return
 	}
@@ -42,7 +42,7 @@
 		"rank": e.Rank, "held": e.HeldOnly, "limit_us": int64(e.Until - at)})
 }
 
-func (t *trace) ended(c *charge, o *out, end decide.Ending, shown decide.Trace, e *attempts.End, at decide.Micros) {
+func (t *trace) ended(c *request, o *attempt, end decide.Ending, shown decide.Trace, e *attempts.End, at decide.Micros) {
 	if t == nil {
 		return
 	}
@@ -54,7 +54,7 @@
 	t.line(c, at, "trip ended", f)
 }
 
-func (t *trace) answer(c *charge, word string, at decide.Micros) {
+func (t *trace) answer(c *request, word string, at decide.Micros) {
 	if t == nil {
 		return
 	}
--- a/internal/upkeep/fleet.go
+++ b/internal/upkeep/fleet.go
@@ -27,7 +27,7 @@
 }
 
 // Visited hears of a visit that was delivered: by its object's key, from which cache, and when the copy was made; 0: not told.
-func (u *Upkeep) Visited(key uint64, ask *front.Ask, cache uint64, made decide.Micros) {
+func (u *Upkeep) Visited(key uint64, ask *front.Request, cache uint64, made decide.Micros) {
 	if !u.rows || ask.Behind || !u.cases[ask.Case].Harmless {
 		return
 	}
--- a/internal/upkeep/renewing.go
+++ b/internal/upkeep/renewing.go
@@ -51,19 +51,19 @@
 }
 
 // ask words a renewal as the service takes it.
-func (u *Upkeep) ask(c *chores.Chore) (ask front.Ask, ok bool) {
+func (u *Upkeep) ask(c *chores.Chore) (ask front.Request, ok bool) {
 	now := u.host.Now()
 	copied, ok := u.ageing.Find(c.Work.Key())
 	if !ok || !u.renews || copied.Until <= now {
 		return ask, false
 	}
-	ask = front.Ask{Case: decide.UseCaseID(copied.UseCase), Object: hexed(copied.Object), Part: copied.Part,
+	ask = front.Request{Case: decide.UseCaseID(copied.UseCase), Object: hexed(copied.Object), Part: copied.Part,
 		Group: decide.GroupID(copied.Group), Tenant: decide.NoTenant, KB: copied.KB, Behind: true, Gap: copied.Gap,
 		Patience: min(max(copied.Until-now, renewLeast), renewMost)}
 	return ask, true
 }
 
-func hexed(x uint64) (m front.Mark) {
+func hexed(x uint64) (m front.TraceID) {
 	copy(m[:], fmt.Sprintf("%016x", x))
 	return m
 }
@@ -90,14 +90,14 @@
 	r.u.chores.Ended(r.u.host.Now(), chores.Ticket(no), how)
 }
 
-// Deliver hears that a copy was renewed.
-func (r renewals) Deliver(no uint64, _, _ []byte, _ bool) { r.end(no, chores.Done) }
+// Answer hears that a copy was renewed.
+func (r renewals) Answer(no uint64, _, _ []byte, _ bool) { r.end(no, chores.Done) }
 
-// Defer hears that there was no room.
-func (r renewals) Defer(no uint64, _ decide.Micros) { r.end(no, chores.TurnedAway) }
+// Reject hears that there was no room.
+func (r renewals) Reject(no uint64, _ decide.Micros) { r.end(no, chores.TurnedAway) }
 
-// Scrap hears that a renewal failed.
-func (r renewals) Scrap(no uint64) { r.end(no, chores.Failed) }
+// Fail hears that a renewal failed.
+func (r renewals) Fail(no uint64) { r.end(no, chores.Failed) }
 
 // Assigned needs nothing of it.
 func (r renewals) Assigned(uint64, decide.VisitID) {}
--- a/internal/upkeep/upkeep.go
+++ b/internal/upkeep/upkeep.go
@@ -28,8 +28,8 @@
 type Host interface {
 	Now() decide.Micros
 	Router() *decide.Router // with its clock set
-	Way(ask *front.Ask) (decide.Errand, bool)
-	Arrive(from front.Client, no uint64, ask *front.Ask) bool
+	Way(ask *front.Request) (decide.Errand, bool)
+	Arrive(from front.Client, no uint64, ask *front.Request) bool
 	Caches(f func(id decide.CacheID, mark uint64, tier decide.Tier))
 	Tier(id decide.CacheID) decide.Tier
 	Bears(name uint64) decide.CacheID // the cache of the branch that bears this name in its present start, or NoCache
