Front: a router that is to end is not quiet while a request lies unread

Change: what lies unread, in the kernel or in the poller's hand, keeps it. Result: TestNotQuietWithARequestUnread failed before.

--- a/internal/front/rpc.go
+++ b/internal/front/rpc.go
@@ -117,13 +117,13 @@
 	}
 }
 
-// Quiet tells that every request has its answer and every answer is with the kernel.
+// Quiet tells that every request has its answer, every answer is with the kernel, and nothing lies unread.
 func (f *RPC) Quiet() bool {
 	if f.owed > 0 {
 		return false
 	}
 	for c := range f.conns {
-		if c.unread() != 0 {
+		if c.unread() != 0 || c.ending == nil && c.conn.Waiting() {
 			return false
 		}
 	}
--- a/internal/front/rpc_test.go
+++ b/internal/front/rpc_test.go
@@ -357,3 +357,29 @@
 		}
 	})
 }
+
+// A router that is to end is not quiet while a request lies unread: it would be lost with the process.
+func TestNotQuietWithARequestUnread(t *testing.T) {
+	e, rpc, door := open(t, &desk{}, 1<<20)
+	defer e.Stop()
+	client, err := standin.Connect(door)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	until(t, e, "not taken in", func() bool { return len(rpc.conns) == 1 })
+	e.Do(func() {
+		if !rpc.Quiet() {
+			t.Error("not quiet with nothing asked")
+		}
+		client.Write(standin.Request(1, "page", standin.Visit(1, "00000000000000aa", time.Second), nil))
+		quiet := true
+		for i := 0; i < 5000 && quiet; i++ {
+			time.Sleep(time.Millisecond)
+			quiet = rpc.Quiet()
+		}
+		if quiet {
+			t.Error("quiet with a request unread")
+		}
+	})
+}
