Sockets: what the poller has just read and not yet handed on is seen by a look, too

Cause: TestCancelledWhileUnread failed in 3 of 25 runs under the race detector on a busy machine: "a cancellation that lies unread is not seen". Between the poller's read and its handing on, bytes are neither in the kernel nor in hand; a look in that moment found nothing. Change: the poller's buffer hooks tell where it is about to read; a look at that connection waits, in steps of 20 microseconds, until what was read is in hand.

--- a/internal/sockets/kernel.go
+++ b/internal/sockets/kernel.go
@@ -27,6 +27,7 @@
 	engine  *Engine
 	nb      *nbio.Engine
 	inHand  handed
+	buffer  []byte          // the one poller reads into it
 	dials   context.Context // of the connects under way
 	noDials func()          // gives all of them up
 }
@@ -36,6 +37,7 @@
 	nbio.MaxOpenFiles = max(descriptors, 1024) * 2
 	// Edge triggered: with level triggers this poller spins on a connection that has become writable.
 	k := &kernel{nb: nbio.NewEngine(nbio.Config{NPoller: 1, ReadBufferSize: readBuffer, EpollMod: nbio.EPOLLET})}
+	k.buffer = make([]byte, readBuffer)
 	k.dials, k.noDials = context.WithCancel(context.Background())
 	return k
 }
@@ -45,31 +47,51 @@
 
 // handed is what the poller has read and waits to hand on, while another callback holds the engine's lock.
 type handed struct {
-	mu   sync.Mutex
-	from *nbio.Conn
-	b    []byte
+	mu      sync.Mutex
+	reading *nbio.Conn // the poller is about to read from it; what it gets is handed soon
+	from    *nbio.Conn
+	b       []byte
 }
 
-func (h *handed) set(from *nbio.Conn, b []byte) {
+// set notes where the poller reads, and what it has read.
+func (h *handed) set(reading, from *nbio.Conn, b []byte) {
 	h.mu.Lock()
-	h.from, h.b = from, b
+	h.reading, h.from, h.b = reading, from, b
 	h.mu.Unlock()
 }
 
-// peek copies what was read from a connection.
-func (h *handed) peek(from *nbio.Conn, b []byte) int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.from != from {
-		return 0
+const (
+	handedSoon  = 20 * time.Microsecond
+	handedTries = 100 // the poller does nothing between its read and the handing on
+)
+
+// peek copies what was read from a connection. While the poller is between a read from it and handing on what that gave, it waits for
+// that: those bytes are in neither place.
+func (h *handed) peek(from *nbio.Conn, b []byte) (n int) {
+	for range handedTries {
+		h.mu.Lock()
+		between := h.reading == from
+		if h.from == from {
+			n = copy(b, h.b)
+		}
+		h.mu.Unlock()
+		if !between {
+			return n
+		}
+		time.Sleep(handedSoon)
 	}
-	return copy(b, h.b)
+	return n
 }
 
 func (k *kernel) start(e *Engine) error {
 	k.engine = e
 	k.nb.OnData(k.data)
 	k.nb.OnClose(k.closed)
+	k.nb.OnReadBufferAlloc(func(nb *nbio.Conn) *[]byte {
+		k.inHand.set(nb, nil, nil)
+		return &k.buffer
+	})
+	k.nb.OnReadBufferFree(func(*nbio.Conn, *[]byte) { k.inHand.set(nil, nil, nil) })
 	k.nb.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
 		if c, ok := nb.Session().(*Conn); ok { // no lock: it may be held by who waits for the poller's
 			c.Took(n)
@@ -80,9 +102,9 @@
 
 // data and closed take the lock before they look for the connection: it is tied to the poller's under the lock.
 func (k *kernel) data(nb *nbio.Conn, b []byte) {
-	k.inHand.set(nb, b)
+	k.inHand.set(nil, nb, b)
 	k.engine.mu.Lock()
-	k.inHand.set(nil, nil)
+	k.inHand.set(nil, nil, nil)
 	c, _ := nb.Session().(*Conn)
 	k.engine.came(c, b)
 }
