Rules in random runs over drawn settings: effects, reaches, windows, fresh times, sizes told or not

Change: use cases, joins, what trips tell, times to come back, cells, weights and whether sizes are told are drawn; the desk also checks that a keyed request goes again only within its window and where its repeat is known, and is given back as retryable only while its repeat is dropped.

--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -14,14 +14,40 @@
 // The random runs are the same every time.
 func TestMain(m *testing.M) { fixed.Main(m, 20261201, 0) }
 
-// Seeded random runs: whatever comes, the rules hold after every step and nothing stays behind.
+// drawnCases are use cases of any effect, reach, window, fresh time and grace.
+func drawnCases(rt *rapid.T) []UseCase {
+	span := func(name string, most int) Micros { return Micros(rapid.IntRange(0, most).Draw(rt, name)) }
+	cases := append([]UseCase(nil), testCases...)
+	for i := range cases {
+		u := &cases[i]
+		u.Effect = Effect(rapid.IntRange(0, int(OneShot)).Draw(rt, "effect"))
+		u.Reach = Reach(rapid.IntRange(0, int(OwnCell)).Draw(rt, "reach"))
+		u.Window, u.Expected = 1+span("window", 3_000_000), 1+span("expected", 900_000)
+		u.Fresh, u.Grace = span("fresh", 9_000_000), span("grace", 20_000_000)
+		u.Write = rapid.Bool().Draw(rt, "write")
+	}
+	return cases
+}
+
+// Seeded random runs: whatever comes, and whatever the settings are, the rules hold after every step and nothing stays behind.
 func TestRulesInRandomRuns(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		leave := plainLeave
 		leave.Direct = rapid.Bool().Draw(rt, "direct")
 		leave.Siblings = rapid.Bool().Draw(rt, "siblings")
 		leave.Trips = rapid.IntRange(1, 6).Draw(rt, "trips")
+		leave.Join, leave.Told = rapid.Bool().Draw(rt, "joins"), rapid.Bool().Draw(rt, "tells all")
+		leave.LongestComeback = Micros(rapid.IntRange(0, 1_500_000).Draw(rt, "longest comeback"))
 		d := bench(leave)
+		d.cases = drawnCases(rt)
+		d.r.cases = d.cases
+		d.r.purge.Grace = Micros(rapid.IntRange(100_000, 2_000_000).Draw(rt, "purge grace"))
+		sized := rapid.Bool().Draw(rt, "sizes told")
+		for i := range 4 { // cells of two caches each, and a weight
+			x := fleet()[i]
+			x.Cell, x.Weight = CellID(i/2), rapid.Float64Range(0, 9).Draw(rt, "weight")
+			d.list(x)
+		}
 		d.r.AskOthers(rapid.Bool().Draw(rt, "asks"))
 		var visits []VisitID
 		for range rapid.IntRange(20, 120).Draw(rt, "steps") {
@@ -34,6 +60,9 @@
 				a := video(rapid.IntRange(0, 6).Draw(rt, "object"))
 				a.UseCase = UseCaseID(rapid.IntRange(0, 3).Draw(rt, "use"))
 				a.Left = Micros(rapid.IntRange(0, 3_000_000).Draw(rt, "left"))
+				if !sized {
+					a.KB = 0
+				}
 				visits = append(visits, d.arrive(a))
 			case step <= 6 && len(d.out) > 0:
 				i := rapid.IntRange(0, len(d.out)-1).Draw(rt, "trip")
--- a/decide/helpers_test.go
+++ b/decide/helpers_test.go
@@ -7,6 +7,7 @@
 	v VisitID
 	n TripNo
 	Errand
+	at Micros
 }
 
 // desk records results and checks the rules at each of them.
@@ -17,6 +18,8 @@
 	sends    map[VisitID]int
 	answers  map[VisitID]int
 	maybeRan map[VisitID]CacheID
+	ranSince map[VisitID]Micros // when the first attempt that may have run was sent
+	longest  Micros             // until a client that is told so comes back
 	left     map[VisitID]bool
 	asked    map[VisitID]Asked
 	arriving Asked
@@ -57,6 +60,15 @@
 	if _, ran := d.maybeRan[v]; ran && use.Effect == OneShot {
 		d.fault("one-shot visit sent again though it may have run")
 	}
+	if ran, is := d.maybeRan[v]; is && use.Effect == Stamped {
+		if d.r.now-d.ranSince[v] > use.Window {
+			d.fault("keyed request sent again after its window")
+		}
+		there, was := d.told[e.Cache], d.told[ran]
+		if use.Reach != Everywhere && there.Zone != was.Zone || use.Reach == OwnCell && there.Cell != was.Cell {
+			d.fault("keyed request sent again where its repeat is not known")
+		}
+	}
 	for _, id := range []CacheID{e.Cache, e.Source} {
 		if d.told[id].Standing != Up {
 			d.fault("cache %d is sent to though it drains or is gone", id)
@@ -65,7 +77,7 @@
 	if e.Until <= d.r.now {
 		d.fault("trip ends before it starts")
 	}
-	d.out = append(d.out, sent{v, TripNo(d.sends[v]), e})
+	d.out = append(d.out, sent{v, TripNo(d.sends[v]), e, d.r.now})
 	d.sends[v]++
 }
 
@@ -82,6 +94,10 @@
 	if _, ran := d.maybeRan[v]; ran && d.cases[d.asked[v].UseCase].Effect == OneShot {
 		d.fault("one-shot visit deferred though it may have run")
 	}
+	use := d.cases[d.asked[v].UseCase]
+	if _, ran := d.maybeRan[v]; ran && use.Effect == Stamped && (use.Reach != Everywhere || d.r.now+d.longest > d.ranSince[v]+use.Window) {
+		d.fault("keyed request given back as retryable though its repeat may not be dropped")
+	}
 	d.deferred++
 	d.answer(v)
 }
@@ -114,8 +130,8 @@
 	s := d.out[i]
 	d.out = append(d.out[:i], d.out[i+1:]...)
 	rep.Trip = s.n
-	if !rep.Ending.ProvesUnrun() {
-		d.maybeRan[s.v] = s.Cache
+	if _, ran := d.maybeRan[s.v]; !ran && !rep.Ending.ProvesUnrun() {
+		d.maybeRan[s.v], d.ranSince[s.v] = s.Cache, s.at
 	}
 	if rep.Ending == Delivered && d.answers[s.v] == 0 && !d.left[s.v] {
 		d.answer(s.v)
@@ -184,7 +200,7 @@
 func bench(leave Leave) *desk {
 	d := &desk{cases: testCases, sends: map[VisitID]int{}, answers: map[VisitID]int{}, left: map[VisitID]bool{},
 		maybeRan: map[VisitID]CacheID{}, asked: map[VisitID]Asked{}, told: map[CacheID]Listed{}, due: map[VisitID]Micros{},
-		twoAtOne: leave.TwoAtOnce}
+		twoAtOne: leave.TwoAtOnce, ranSince: map[VisitID]Micros{}, longest: leave.LongestComeback}
 	cold := ColdStart{Least: 0.2, Multiple: 2, Ramp: 16 * second, Window: 1500 * ms}
 	d.r = New(7, d, testCases, nil, Branch{Zone: 1, Crew: 1, Fleet: 2, PaceKB: 1000}, leave, cold, cold,
 		Purges{Grace: second, Takes: 6 * second})
--- a/internal/service/races_test.go
+++ b/internal/service/races_test.go
@@ -78,8 +78,7 @@
 	close(let)
 	var late []*standin.Client
 	var answers []<-chan *standin.Answer
-	var step func() bool
-	step = b.router.Leaving()
+	step := b.router.Leaving()
 	b.router.engine.Do(func() { // nothing is accepted or read meanwhile
 		for no := range 5 {
 			c, err := standin.Connect(b.door)
