--- a/internal/service/races_test.go
+++ b/internal/service/races_test.go
@@ -201,3 +201,47 @@
 		c.Close()
 	}
 }
+
+// Clients cancel, or close, while their answers are being written and they read nothing: all that is held for them goes, and others are served.
+func TestCancelledWhileTheAnswerIsWritten(t *testing.T) {
+	b := open(t, func(_ *standin.Cache, g *standin.Get) *standin.Reply {
+		return &standin.Reply{Word: "data", Body: []byte(strings.Repeat("x", 200_000))}
+	})
+	defer b.close()
+	for _, how := range []string{"cancels", "closes"} {
+		conn, err := net.Dial("tcp", b.door)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.(*net.TCPConn).SetReadBuffer(4096)
+		for no := uint64(1); no <= 30; no++ {
+			_, _ = conn.Write(standin.Request(no, "page", standin.Visit(1000+no+uint64(len(how))<<16, object, 5*time.Second), nil))
+		}
+		b.until("an answer is being written", func() bool {
+			quiet := true
+			b.router.engine.Do(func() { quiet = b.router.rpc.Quiet() })
+			return !quiet && len(b.edges()) > 0
+		})
+		if how == "cancels" {
+			for no := byte(1); no <= 30; no++ {
+				_, _ = conn.Write([]byte{0x93, 2, 0xa6, 'g', 'i', 'v', 'e', 'U', 'p', 0x91, no})
+			}
+		} else {
+			_ = conn.Close()
+		}
+		b.until("all requests are over", func() bool {
+			open := 1
+			b.router.engine.Do(func() { open = len(b.router.desk.marks) })
+			return open == 0
+		})
+		if a := b.wait(b.ask("page", object, 2*time.Second, nil)); len(a.Body) != 200_000 {
+			t.Errorf("%s: another client got %q, %d bytes", how, a.Error, len(a.Body))
+		}
+		_ = conn.Close()
+		b.until("nothing is held", func() bool {
+			quiet := false
+			b.router.engine.Do(func() { quiet = b.router.rpc.Quiet() })
+			return quiet
+		})
+	}
+}
