--- a/internal/attempts/attempts.go
+++ b/internal/attempts/attempts.go
@@ -142,7 +142,7 @@
 	return nil, 0
 }
 
-// Cancel gives a attempt up and tells how far it has come, for good; nothing more is heard of it.
+// Cancel gives an attempt up and tells how far it has come, for good; nothing more is heard of it.
 func (y *Pool) Cancel(t AttemptID, c decide.CacheID) Reach {
 	l, i := y.find(t, c)
 	if l == nil {
