--- a/review/1/main.go
+++ b/review/1/main.go
@@ -14,9 +14,9 @@
 
 const (
 	rounds        = 3
-	keyWindow     = 500 * time.Millisecond  // as in config.json
+	keyWindow     = 1000 * time.Millisecond // as in config.json
 	slack         = 50 * time.Millisecond   // by which each time limit of the rules is longer on sockets
-	hangTime      = 650 * time.Millisecond  // how long a cache hangs after the other one has reset a connection
+	hangTime      = 1200 * time.Millisecond // how long a cache hangs after the other one has reset a connection
 	hotRequests   = 24                      // open requests for the hot object: more than a cache may have in flight
 	clientTimeout = 3000 * time.Millisecond // of each request
 )
