Review case 2: longer waits, for slower machines

Cause: the first request had to stay open until all others were written, with 0.5 s to spare.

Change: the cache takes 1.8 s for it, and the bad clients have 0.3 s to fill the router's bound.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -13,8 +13,9 @@
 
 const (
 	usualClients  = 5
-	readTime      = 1200 * time.Millisecond // how long a cache takes for the first request of each usual client
+	readTime      = 1800 * time.Millisecond // how long a cache takes for the first request of each usual client
 	pause         = 100 * time.Millisecond  // between the two pieces of a write
+	fillTime      = 300 * time.Millisecond  // for the router to read what the bad clients send
 	clientTimeout = 3000 * time.Millisecond // of each request
 	lateBy        = 500 * time.Millisecond  // a later final answer counts as lost
 
@@ -64,7 +65,7 @@
 			}
 		}
 	}
-	time.Sleep(pause)
+	time.Sleep(fillTime)
 	for _, c := range clients {
 		sent = append(sent, s.send(c, "write in two pieces", "quote-save", "1c04be77a9035fd2", make([]byte, writeBody)))
 	}
