Review: records with all that was sent, answered and run

Change: the programs of the cases write a line for each request, arrival and answer. Rules, bounds and times are as they were.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -87,6 +87,7 @@
 		s.hung++
 	}
 	s.mu.Unlock()
+	s.Logf("%s received %s %s, trace id %s", cache.Name, g.Fields["queue"], g.Fields["path"], g.ID)
 	key := g.Fields["uniq"]
 	if key != "" {
 		s.runAtOrigin(cache, key, now)
@@ -142,6 +143,7 @@
 		params["nonce"] = key
 		body = []byte("figures of a quote")
 	}
+	s.Logf("sent %s %s, trace id %s, key %q", class, object, params["trace"], key)
 	_, answers := s.client.Send(class, params, body)
 	return answers
 }
@@ -161,7 +163,9 @@
 	var objects [2]string
 	for i := 0; i < 100 && (objects[0] == "" || objects[1] == ""); i++ {
 		object := fmt.Sprintf("%08x%08x", 0x7f3a9c21+round, i*7919)
-		if a := s.await(s.send("calc-page", object, "")); a == nil || a.Error != "" {
+		a := s.await(s.send("calc-page", object, ""))
+		s.Logf("answer for %s: %s", object, bed.Summary(a))
+		if a == nil || a.Error != "" {
 			return objects, fmt.Errorf("warm-up request for %s: %s", object, bed.Summary(a))
 		}
 		s.mu.Lock()
@@ -212,7 +216,9 @@
 	answer := s.await(saved)
 	s.Logf("answer to key %s: %s", key, bed.Summary(answer))
 	for i, answers := range hot {
-		if a := s.await(answers); a == nil {
+		a := s.await(answers)
+		s.Logf("answer to request %d for the hot object: %s", i+1, bed.Summary(a))
+		if a == nil {
 			return fmt.Errorf("request %d for the hot object got no answer", i)
 		}
 	}
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -105,9 +105,11 @@
 	if i < bigClients {
 		size = len(request) - 1
 	}
+	s.Logf("bad client %d sends %d of %d bytes of a request", i+1, size, len(request))
 	go func() {
 		_, _ = conn.Write(request[:size])
-		_, _ = conn.Read(make([]byte, 1)) // until the router answers or closes
+		n, err := conn.Read(make([]byte, 1)) // until the router answers or closes
+		s.Logf("bad client %d got %d bytes of an answer, %v", i+1, n, err)
 		_ = conn.Close()
 	}()
 	return nil
