Routing: a queued request that may have run is not sent after its key window

Cause: mayRunAgain compares the time with the window when an attempt has ended. dispatch may then queue the request, and latestDispatch followed from the latency objective only.

Evidence: in the request log the second attempt is forwarded 1,200,459 us after the arrival and ends 394 us later, while the first ended at 617 us. So the time passed before the forward, in the queue, not on a connection.

Change: the end of the window is a time of the request (latestRepeat), which bounds latestDispatch. The timer of the queue fires then, and the request fails at once, as it may not be promised to be safe to repeat.

TestInvariantsInRandomRuns with 20,000 runs passes on the old code, so it does not reach this.

--- a/routing/doc.go
+++ b/routing/doc.go
@@ -38,7 +38,8 @@
 //  4. Bypass: use a parent or the origin if no cache of the zone can be used (cache_selection.go).
 //  5. Source: choose a sibling's copy, the quicker parent, the origin, or no source (source_selection.go).
 //  6. Purges: accept no copy that is older than the last purge (purges.go).
-//  7. Queue: wait if nothing has capacity and the objective can still be met (queueing.go).
+//  7. Queue: wait if nothing has capacity and the objective can still be met, but never beyond the key window
+//     of a keyed request that may have run (queueing.go).
 //  8. Result: update endpoints, limits and object statistics (outcomes.go, outliers.go).
 //  9. Retry, or give a final answer that says whether the client may try again (retries.go).
 //
--- a/routing/queueing.go
+++ b/routing/queueing.go
@@ -4,17 +4,20 @@
 // request's sending time.
 const dispatchReserve = 2
 
-// latestDispatch returns the latest time at which an attempt may be sent and still meet the objective.
-func (req *request) latestDispatch() Micros { return req.objective - dispatchReserve*req.sendTime }
+// latestDispatch returns the latest time at which an attempt of a queued request may be sent: it must still
+// meet the objective, and must not let the request take effect twice.
+func (r *Router) latestDispatch(req *request) Micros {
+	return min(req.objective-dispatchReserve*req.sendTime, r.latestRepeat(req))
+}
 
-// enqueue queues a request until there is capacity for an attempt. A timer ends its wait when it is too
-// late to meet the objective.
+// enqueue queues a request until there is capacity for an attempt. A timer ends its wait after its latest
+// dispatch.
 func (r *Router) enqueue(req *request) {
 	if !req.transition(stateQueued) {
 		return
 	}
 	r.queue = append(r.queue, req.id)
-	r.executor.SetTimer(max(req.latestDispatch(), r.now) + ms)
+	r.executor.SetTimer(max(r.latestDispatch(req), r.now) + ms)
 }
 
 // admitQueued dispatches queued requests while there is capacity.
@@ -29,7 +32,7 @@
 }
 
 // nextQueued returns the queued request with the greatest weight that can be forwarded now, or nil. It
-// gives a final answer to queued requests that can no longer meet their objective.
+// gives a final answer to queued requests whose latest dispatch has passed.
 func (r *Router) nextQueued() *request {
 	var best *request
 	bestWeight := -1.0 // less than any weight: requests of weight 0 are admitted after all others
@@ -39,7 +42,7 @@
 		if req == nil || req.state != stateQueued {
 			continue
 		}
-		if r.now > req.latestDispatch() {
+		if r.now > r.latestDispatch(req) {
 			r.rejectOrFail(req)
 			continue
 		}
--- a/routing/queueing_test.go
+++ b/routing/queueing_test.go
@@ -44,3 +44,37 @@
 			len(fake.outstanding), sent)
 	}
 }
+
+// Guards against a second effect: a keyed request that may have run waits in the queue until its key window is over,
+// and is sent again. It must get its final answer when the window ends, as failed, and must not be sent again.
+func TestQueuedRepeatEndsWithItsKeyWindow(t *testing.T) {
+	const keyed, window = 3, 300 * ms
+	fake := newFakeExecutor(plainPermissions)
+	classes := append([]Class(nil), testClasses...)
+	classes[keyed].KeyWindow = window // shorter than the latency objective of 600 ms
+	fake.classes, fake.router.classes = classes, classes
+	sent := fake.router.now
+	id := fake.arrive(Request{Class: keyed, Object: 5, Remaining: 3 * second, SizeKB: 10, Write: true,
+		Tenant: NoTenant})
+	for i := range 500 { // they use up the capacity of all caches
+		fake.arrive(videoRequest(i))
+	}
+	fake.end(0, AttemptResult{Outcome: ConnectionLost, Elapsed: ms})
+	if fake.answers[id] != 0 || fake.attempts[id] != 1 {
+		t.Fatalf("%d final answers and %d attempts, want the request queued after its first attempt", fake.answers[id],
+			fake.attempts[id])
+	}
+	fake.advance(window)
+	if fake.answers[id] != 1 || fake.rejected != 0 {
+		t.Errorf("%d final answers at the end of the key window, of which %d rejections, want one failure",
+			fake.answers[id], fake.rejected)
+	}
+	fake.router.SetTime(sent + window + 10*ms)
+	for len(fake.outstanding) > 0 && fake.attempts[id] == 1 { // capacity is free again
+		fake.end(len(fake.outstanding)-1, AttemptResult{Outcome: Succeeded, CacheStatus: Hit, Elapsed: window})
+	}
+	if fake.attempts[id] != 1 {
+		t.Errorf("%d attempts, want no second one after the key window", fake.attempts[id])
+	}
+	fake.check(t)
+}
--- a/routing/request.go
+++ b/routing/request.go
@@ -73,7 +73,7 @@
 		r.rejectOrFail(req)
 		return
 	}
-	if !ok && r.now < req.latestDispatch() && r.anyCacheUsable() {
+	if !ok && r.now < r.latestDispatch(req) && r.anyCacheUsable() {
 		r.enqueue(req)
 		return
 	}
--- a/routing/retries.go
+++ b/routing/retries.go
@@ -1,11 +1,19 @@
 package routing
 
+import "math"
+
 const (
 	maxAttempts = 3        // for one request
 	keyMargin   = 100 * ms // a keyed request is not retried within this time before the end of its key window
 	retrySpread = 0.5      // share of the longest Retry-After that is random, to spread clients
 )
 
+// Values of latestRepeat that are no times.
+const (
+	notAgain Micros = -1            // the request may not be sent again
+	noLimit  Micros = math.MaxInt64 // the request may be sent at any time
+)
+
 // ProvesNotRun reports whether an attempt with this outcome is known not to have run.
 func (o Outcome) ProvesNotRun() bool {
 	return o == Rejected || o == ConnectFailed || o == NotSent || o == CacheMiss
@@ -65,18 +73,19 @@
 }
 
 // mayRunAgain reports whether a request may be sent again at the given time without taking effect twice.
-func (r *Router) mayRunAgain(req *request, at Micros) bool {
-	if !req.mayHaveRun {
-		return true
-	}
+func (r *Router) mayRunAgain(req *request, at Micros) bool { return at <= r.latestRepeat(req) }
+
+// latestRepeat returns the latest time at which a request may be sent, or sent again, without taking effect
+// twice: notAgain or noLimit, or a time within its key window.
+func (r *Router) latestRepeat(req *request) Micros {
 	class := &r.classes[req.Class]
-	switch class.Effect {
-	case Idempotent:
-		return true
-	case Keyed:
-		return at-req.mayHaveRunSince < class.KeyWindow-keyMargin
+	switch {
+	case !req.mayHaveRun || class.Effect == Idempotent:
+		return noLimit
+	case class.Effect == Keyed:
+		return req.mayHaveRunSince + class.KeyWindow - keyMargin
 	default:
-		return false
+		return notAgain
 	}
 }
 
