Attempts: a retry that waits for its connection is not sent after its key window

Cause: the key window was compared when the retry was decided. internal/attempts then queues the request for its connection, and knew only its time budget. The pool asked its handler MayBegin before a write only when a connection had been established or had received bytes, not in Pool.Send and Pool.Tick.

Change: a plan has the latest time at which its attempt may be sent (ForwardPlan.LatestSend). The pool asks MayBegin before every write, and MayBegin compares that time with the clock. A timer withdraws the attempt when the time has passed, so that the request fails at once and does not wait for the connect.

--- a/internal/attempts/connection.go
+++ b/internal/attempts/connection.go
@@ -45,7 +45,7 @@
 }
 
 // Connected sends the requests that were queued while the connection was being established.
-func (c *connection) Connected() { c.flushAllowed() }
+func (c *connection) Connected() { c.flush() }
 
 // Data handles received bytes: it ends the attempts whose responses are complete, then sends queued requests.
 func (c *connection) Data(b []byte) error {
@@ -57,7 +57,7 @@
 	if err := c.received.Decode(c.pool.engine, b, c); err != nil {
 		return err
 	}
-	c.flushAllowed()
+	c.flush()
 	c.closeIfDrained()
 	return nil
 }
@@ -131,18 +131,9 @@
 	}
 }
 
-// flush writes queued requests in order, for as long as the connection has no unsent bytes.
+// flush writes queued requests in order, for as long as the connection has no unsent bytes. It withdraws those for
+// which Handler.MayBegin returns false: what allowed them may have changed while they were queued.
 func (c *connection) flush() {
-	for i := range c.attempts {
-		if !c.attempts[i].written && c.conn.Flushed() {
-			c.write(&c.attempts[i])
-		}
-	}
-}
-
-// flushAllowed writes queued requests as flush does, but withdraws those for which Handler.MayBegin returns false:
-// their clients may have left while the requests were queued.
-func (c *connection) flushAllowed() {
 	for i := 0; i < len(c.attempts) && c.conn.Flushed(); {
 		a := &c.attempts[i]
 		switch {
--- a/internal/attempts/pool.go
+++ b/internal/attempts/pool.go
@@ -19,8 +19,8 @@
 type Handler interface {
 	// AttemptEnded handles the end of an attempt. result is valid only during the call.
 	AttemptEnded(id AttemptID, result *Result)
-	// MayBegin reports whether an attempt that was queued may still be sent. If not, the attempt is withdrawn, and
-	// AttemptEnded is not called for it.
+	// MayBegin is called right before the request of an attempt is written, and reports whether it may still be sent. If
+	// not, the attempt is withdrawn, and AttemptEnded is not called for it.
 	MayBegin(id AttemptID) bool
 	// HealthCheckEnded handles the end of the health check with a number returned by Pool.StartHealthCheck.
 	HealthCheckEnded(number uint64, result HealthCheckResult, took time.Duration)
--- a/internal/attempts/queued_test.go
+++ b/internal/attempts/queued_test.go
@@ -31,6 +31,7 @@
 	pool   *Pool
 	ended  results
 	cache  *recordingCache
+	link   *network.Link // from the router to the cache
 }
 
 const (
@@ -43,9 +44,10 @@
 	world := network.New(1)
 	router := world.AddHost("router", netip.MustParseAddr("10.0.0.1"))
 	cache := world.AddHost("cache", netip.MustParseAddr("10.0.0.2"))
-	world.Link(router, cache).ConnectDelay = connectDelay
+	link := world.Link(router, cache)
+	link.ConnectDelay = connectDelay
 	engine := transport.NewWithRuntime(router.Start(), log)
-	s := &slowConnect{world: world, engine: engine, ended: results{}, cache: &recordingCache{}}
+	s := &slowConnect{world: world, engine: engine, ended: results{}, cache: &recordingCache{}, link: link}
 	s.pool = New(s.engine, log, s.ended, testConfig(1))
 	cacheEngine := transport.NewWithRuntime(cache.Start(), log)
 	cacheEngine.SetMaxAccepted(8)
@@ -168,3 +170,50 @@
 		}
 	}
 }
+
+// choosyHandler is a Handler that lets only one attempt begin.
+type choosyHandler struct {
+	results
+	allowed AttemptID
+}
+
+func (h choosyHandler) MayBegin(id AttemptID) bool { return id == h.allowed }
+
+// Guards against requests that are written although it is too late for them, or although their clients are gone: the
+// pool asked the handler only when a connection was established or had received bytes, and not when a queued request
+// was written because the connection had sent what was before it, or when a request was written at once.
+func TestHandlerIsAskedBeforeEveryWrite(t *testing.T) {
+	s := newSlowConnect()
+	s.pool.handler = choosyHandler{s.ended, attemptID(1)}
+	s.link.BytesPerMillisecond = 500 // so that the first request fills the send buffer for a while
+	const bodySize = 200_000
+	s.engine.Do(func() {
+		request, body := newRequest(1, bodySize)
+		s.pool.Send(attemptID(1), 0, request, body)
+	})
+	s.world.Run(300 * clock.Millisecond)
+	send := func(number byte, queued int) {
+		s.engine.Do(func() {
+			request, body := newRequest(number, 5)
+			s.pool.Send(attemptID(number), 0, request, body)
+			if s.pool.QueuedCount() != queued {
+				t.Errorf("after attempt %d: %d requests queued, want %d", number, s.pool.QueuedCount(), queued)
+			}
+		})
+	}
+	send(2, 1)
+	s.world.Run(900 * clock.Millisecond)
+	s.engine.Do(func() { s.pool.Tick(s.engine.Now()) })
+	send(3, 0)
+	s.world.Run(1200 * clock.Millisecond)
+	first, second, third := requestID(1), requestID(2), requestID(3)
+	got := s.cache.read.String()
+	if !strings.Contains(got, string(first[:])) || len(got) < bodySize {
+		t.Errorf("the cache read %d bytes, want the whole first request", len(got))
+	}
+	for _, id := range []ID{second, third} {
+		if strings.Contains(got, string(id[:])) {
+			t.Errorf("the cache read request %s, which was not allowed to begin", id)
+		}
+	}
+}
--- a/internal/service/attempts.go
+++ b/internal/service/attempts.go
@@ -11,6 +11,7 @@
 	number           routing.AttemptNumber
 	endpoint, source routing.EndpointID
 	startedAt        routing.Micros // when the Router planned it
+	latestSend       routing.Micros // as in routing.ForwardPlan
 	ended            bool           // its result has been queued for the Router
 }
 
@@ -18,7 +19,13 @@
 func (p *proxy) Forward(id routing.RequestID, plan routing.ForwardPlan) {
 	r := p.request(id)
 	number := routing.AttemptNumber(len(r.attempts))
-	r.attempts = append(r.attempts, attempt{number: number, endpoint: plan.Cache, source: plan.Source, startedAt: p.now})
+	r.attempts = append(r.attempts, attempt{
+		number:     number,
+		endpoint:   plan.Cache,
+		source:     plan.Source,
+		startedAt:  p.now,
+		latestSend: plan.LatestSend,
+	})
 	p.DetectStall()
 	// If the process has stalled, the client may have left during the stall, without the front end knowing it yet.
 	if state := r.client.State(r.number); state != frontend.ClientWaits {
@@ -26,20 +33,27 @@
 		return
 	}
 	attemptID := attempts.AttemptID{Request: id, Attempt: number}
-	p.setTimer(timer{at: plan.Deadline, attempt: attemptID})
+	p.setTimer(timer{at: plan.Deadline, kind: attemptDeadline, attempt: attemptID})
+	if plan.LatestSend < plan.Deadline {
+		p.setTimer(timer{at: plan.LatestSend + 1, kind: attemptUnsent, attempt: attemptID})
+	}
 	p.requestLog.forwarded(r, number, &plan, p.now)
 	outgoing := p.outgoingRequest(r, &plan)
 	p.pool.Send(attemptID, plan.Cache, &outgoing, r.params.Body)
 }
 
-// MayBegin implements attempts.Handler: it reports whether a queued attempt may still be sent. If its client may have
-// left during a stall of the process, it ends the attempt and returns false.
+// MayBegin implements attempts.Handler: it reports whether an attempt may still be sent. If it is too late for that, or
+// if its client may have left during a stall of the process, it ends the attempt and returns false.
 func (p *proxy) MayBegin(id attempts.AttemptID) bool {
 	p.DetectStall()
 	r, a := p.openAttempt(id)
 	if a == nil {
 		return false
 	}
+	if p.clockNow() > a.latestSend {
+		p.finishAttempt(r, a, routing.NotSent, nil)
+		return false
+	}
 	state := r.client.State(r.number)
 	if state != frontend.ClientWaits {
 		p.abandonUnsent(r, a, state)
@@ -108,6 +122,13 @@
 	p.finishAttempt(r, a, timeoutOutcome(progress), nil)
 }
 
+// withdrawUnsent withdraws an attempt whose latest time to be sent has passed. It does nothing if the attempt was sent.
+func (p *proxy) withdrawUnsent(id attempts.AttemptID) {
+	if r := p.request(id.Request); r != nil {
+		p.withdrawFrom(r, routing.NotSent, func(a *attempt) bool { return a.number == id.Attempt })
+	}
+}
+
 // openAttempt returns an attempt and its request. The attempt is nil if it has ended. Both are nil if the request was
 // released.
 func (p *proxy) openAttempt(id attempts.AttemptID) (*request, *attempt) {
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -69,18 +69,21 @@
 	return max((next - p.lastTurnEndedAt).Duration(), 0)
 }
 
-// fireTimers ends the attempts whose deadlines have passed. It then calls Router.TimerFired if at least one of the
-// Router's timers is due.
+// fireTimers ends the attempts whose deadlines have passed, and withdraws those that were not sent in time. It then
+// calls Router.TimerFired if at least one of the Router's timers is due.
 func (p *proxy) fireTimers() {
 	p.setRouterTime()
 	routerTimerDue := false
 	for len(p.timers) > 0 && p.timers[0].at <= p.now {
 		t := p.timers.Pop()
-		if t.forRouter {
+		switch t.kind {
+		case attemptDeadline:
+			p.attemptTimedOut(t.attempt)
+		case attemptUnsent:
+			p.withdrawUnsent(t.attempt)
+		case routerTimer:
 			routerTimerDue = true
-			continue
 		}
-		p.attemptTimedOut(t.attempt)
 	}
 	if routerTimerDue {
 		p.router.TimerFired()
@@ -100,4 +103,4 @@
 }
 
 // SetTimer implements routing.Executor: it requests a call of Router.TimerFired at the given time.
-func (p *proxy) SetTimer(at routing.Micros) { p.setTimer(timer{at: at, forRouter: true}) }
+func (p *proxy) SetTimer(at routing.Micros) { p.setTimer(timer{at: at, kind: routerTimer}) }
--- a/internal/service/timers.go
+++ b/internal/service/timers.go
@@ -6,11 +6,20 @@
 	"threadrun/routing"
 )
 
-// timer is the deadline of an attempt, or a timer of the Router.
+// timerKind says what a timer is for.
+type timerKind uint8
+
+const (
+	attemptDeadline timerKind = iota // ends the attempt
+	attemptUnsent                    // withdraws the attempt if it has not been sent
+	routerTimer                      // set by Executor.SetTimer; belongs to no attempt
+)
+
+// timer is a timer of an attempt or of the Router.
 type timer struct {
-	at        routing.Micros
-	attempt   attempts.AttemptID
-	forRouter bool // set by Executor.SetTimer; attempt is unused
+	at      routing.Micros
+	kind    timerKind
+	attempt attempts.AttemptID
 }
 
 // Before reports whether t is due before other.
--- a/routing/api.go
+++ b/routing/api.go
@@ -101,6 +101,7 @@
 	Cache                EndpointID // to which the attempt is sent; for a bypass, a parent or the origin
 	Source               EndpointID // of a fill; equal to Cache: no fill
 	Deadline             Micros
+	LatestSend           Micros // a later attempt could take effect a second time: it must end as NotSent
 	Rank                 int    // retention rank of a fill: higher if requests are more frequent; 0: not kept
 	MaxAge               Micros // greatest accepted age of a copy; 0: no limit beyond the class's lifetime
 	JoinFill             bool   // wait for a fill that is already running
--- a/routing/request.go
+++ b/routing/request.go
@@ -93,7 +93,11 @@
 // see withinSlowStartBudget and selectQuicker.
 func (r *Router) plan(req *request) (plan ForwardPlan, expectFill, ok bool) {
 	stats := r.statsOf(req)
-	plan = ForwardPlan{Deadline: req.deadline, JoinFill: r.permissions.JoinFills && !req.Write}
+	plan = ForwardPlan{
+		Deadline:   req.deadline,
+		LatestSend: r.latestRepeat(req),
+		JoinFill:   r.permissions.JoinFills && !req.Write,
+	}
 	r.planFreshness(req, stats, &plan)
 	cache, anyAtLimit := r.selectCache(req)
 	plan.Cache = cache
--- a/simulation/system/plan.go
+++ b/simulation/system/plan.go
@@ -36,6 +36,7 @@
 	faults.Topology
 	Settle       Micros  // how long requests continue after the end of the script, to check recovery
 	RequestRate  float64 // a second, at each router
+	KeyWindow    Micros  // time for which machines recognize repeats of a keyed request
 	OperatorFile string  // text of the file, with KEY for KeyFile, and LISTEN and PEERS for addresses; may be empty
 	KeyFile      string  // path of the routers' shared key
 	Log          RunLog  // may be nil; it does not influence the run
@@ -67,7 +68,7 @@
 		Routers: 3, Caches: 12, Parents: 2, Objects: 120, Groups: 8,
 		Until: 30 * clock.Second,
 	}
-	return Plan{Topology: topology, RequestRate: 10, KeyFile: keyFile}
+	return Plan{Topology: topology, RequestRate: 10, KeyWindow: 5 * clock.Second, KeyFile: keyFile}
 }
 
 // ClusterOperatorFile is the text of an operator's file that enables everything that routers can share. See
--- a/simulation/system/simulation.go
+++ b/simulation/system/simulation.go
@@ -53,7 +53,7 @@
 		losses: map[*network.Link]activeFaults{}}
 	s.discardLog.SetOutput(io.Discard)
 	s.history = newHistory(s)
-	s.checker = invariants.New(checkerSettings())
+	s.checker = invariants.New(checkerSettings(&plan))
 	s.addMachines()
 	s.discovery = &discovery{sim: s, host: s.addHost(faults.Discovery, 4, 1)}
 	s.addRouters()
@@ -68,7 +68,7 @@
 }
 
 // checkerSettings returns the parameters of the checker's rules. assignID adds the slow start of each machine.
-func checkerSettings() invariants.Settings {
+func checkerSettings(plan *Plan) invariants.Settings {
 	return invariants.Settings{
 		DrainGrace:          drainGrace,
 		PurgeGrace:          purgeGrace,
@@ -78,7 +78,7 @@
 		LostAfter:           550 * ms,
 		NotificationTimeout: 7 * clock.Second,
 		ReconnectGrace:      3 * clock.Second,
-		KeyWindow:           5 * clock.Second,
+		KeyWindow:           plan.KeyWindow,
 		SlowStart:           map[invariants.MachineID]invariants.SlowStart{},
 	}
 }
