Front end: reject large requests in pieces, not drop them, when others hold the memory

Cause: the limit on the bytes of incomplete requests is one for all clients. decode returned an error on whichever connection received bytes while it was exceeded, and Data treats every error as a breach of the protocol: it drops all that follows, and closes the connection once the open requests are answered.

Evidence: the log has "client connection closed" with "incomplete requests exceed the memory limit" (once, and again with 24 suppressed), and the connections end 0.1 s after the open read of each client was answered, as closeReason does it.

Change: the message that would exceed the limit is discarded. Its kind and id are kept, its bytes are skipped as they arrive (msgpack.Skipper), a request is rejected when its last byte has arrived, and what follows is handled. The limit is the same. The end of a shutdown and the search for unread cancellations take a discarded message into account. Two log lines tell when the limit is reached and when no longer; the error in "client connection closed" is gone.

--- a/internal/frontend/backlog.go
+++ b/internal/frontend/backlog.go
@@ -63,9 +63,10 @@
 	b.lastRead = now
 }
 
-// messageDecoded must be called with the size of each message, before the message is handled. It returns how long ago,
-// at most, the last byte of the message was sent, or 0 if it was sent after the stall.
-func (b *backlog) messageDecoded(size int, now time.Time) time.Duration {
+// bytesDecoded must be called with the size of each message, before the message is handled, and with the size of each
+// part of a message that is discarded. It returns how long ago, at most, the last of these bytes was sent, or 0 if it
+// was sent after the stall.
+func (b *backlog) bytesDecoded(size int, now time.Time) time.Duration {
 	if !b.active() {
 		return 0
 	}
--- a/internal/frontend/backlog_test.go
+++ b/internal/frontend/backlog_test.go
@@ -24,7 +24,7 @@
 	now := stallEnd.Add(time.Millisecond)
 	for i, want := range []time.Duration{stallLength + time.Millisecond, stallLength + time.Millisecond, 0, 0} {
 		b.bytesArrived(now, true)
-		if got := b.messageDecoded(100, now); got != want {
+		if got := b.bytesDecoded(100, now); got != want {
 			t.Errorf("message %d: unread for %s, want %s", i, got, want)
 		}
 	}
@@ -46,7 +46,7 @@
 		{catchUpPause, false, true}, {catchUpPause, true, false}, {0, true, false}} {
 		now = now.Add(step.pause)
 		b.bytesArrived(now, step.betweenMessages)
-		if got := b.messageDecoded(100, now); (got > 0) != step.duringStall ||
+		if got := b.bytesDecoded(100, now); (got > 0) != step.duringStall ||
 			step.duringStall && got != now.Sub(stallEnd)+stallLength {
 			t.Errorf("%s after the end of the stall: unread for %s, want %s if it may have been sent during the stall (%v), "+
 				"or else 0", now.Sub(stallEnd), got, now.Sub(stallEnd)+stallLength, step.duringStall)
@@ -79,7 +79,7 @@
 	secondEnd := stallEnd.Add(3 * stallLength)
 	b.begin(stallEnd.Add(2*stallLength), secondEnd, 50, false, 0)
 	b.bytesArrived(secondEnd, true)
-	if got := b.messageDecoded(100, secondEnd); got != 4*stallLength {
+	if got := b.bytesDecoded(100, secondEnd); got != 4*stallLength {
 		t.Errorf("unread for %s, want %s", got, 4*stallLength)
 	}
 }
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -16,6 +16,7 @@
 	conn         *transport.Conn
 	serial       uint64 // number of the connection, in the order in which they were accepted
 	received     transport.ReceiveBuffer
+	discarded    *discardedMessage // the message being received, if its bytes are not stored; nil: none
 	backlog      backlog
 	openRequests []openRequest
 	lastNumber   RequestNumber // number that was last assigned to a request
@@ -47,7 +48,7 @@
 }
 
 // maxSmallRequest is a size in bytes that no request without a body exceeds. Incomplete requests up to this size are
-// stored even if Limits.ClientBytes is exceeded.
+// stored even if Limits.ClientBytes is exceeded; larger ones are discarded then.
 const maxSmallRequest = 4096
 
 // answerTransitTime is how long a connection stays open after the last answer, so that the answer can arrive.
@@ -80,6 +81,7 @@
 	err := c.decode(b)
 	if err != nil {
 		c.received.Release(c.server.engine)
+		c.discarded = nil
 	}
 	c.server.incompleteBytes += c.received.Len()
 	if err != nil && !c.safeToClose(c.lastActive) { // requests that were read earlier still get their answers
@@ -94,28 +96,37 @@
 func (c *connection) decode(b []byte) error {
 	c.lastActive = c.server.engine.Now()
 	c.hasReceived = true
-	c.backlog.bytesArrived(c.lastActive, c.received.Len() == 0)
+	c.backlog.bytesArrived(c.lastActive, !c.partlyReceived())
 	c.sawMessage = false
 	c.clientHalfClosed = c.conn.AtEOF()
 	c.decoding = true
-	err := c.received.Decode(c.server.engine, b, c)
+	err := c.decodeMessages(b)
 	c.decoding = false
 	if err != nil {
 		return err
 	}
-	incomplete := c.received.Len()
 	switch { // only a complete message restarts the time: otherwise a client could send one byte at a time forever
-	case incomplete == 0:
+	case !c.partlyReceived():
 		c.awaitingRequestSince = time.Time{}
 	case c.sawMessage || c.awaitingRequestSince.IsZero():
 		c.awaitingRequestSince = c.lastActive
 	}
+	incomplete := c.received.Len()
 	if incomplete > maxSmallRequest && c.server.incompleteBytes+incomplete > c.server.limits.ClientBytes {
-		return errIncompleteBytes // a flood of incomplete large requests would fill the memory
+		return c.discardIncomplete() // a flood of incomplete large requests would fill the memory
 	}
 	return nil
 }
 
+// decodeMessages handles the complete messages in the stored bytes followed by b, and stores or skips the rest.
+func (c *connection) decodeMessages(b []byte) error {
+	b, err := c.skipDiscarded(b)
+	if err != nil {
+		return err
+	}
+	return c.received.Decode(c.server.engine, b, c)
+}
+
 // Next implements transport.Decoder. It handles the message at the start of b, and returns its size, or 0 if it is
 // incomplete.
 func (c *connection) Next(b []byte) (int, error) {
@@ -128,7 +139,7 @@
 	}
 	c.sawMessage = true
 	c.undecoded = b[size:]
-	c.unreadFor = c.backlog.messageDecoded(size, c.lastActive)
+	c.unreadFor = c.backlog.bytesDecoded(size, c.lastActive)
 	err = c.handleMessage(b[:size])
 	c.undecoded = nil
 	return size, err
--- /dev/null
+++ b/internal/frontend/discard_test.go
@@ -0,0 +1,203 @@
+package frontend
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"threadrun/internal/clock"
+	"threadrun/internal/msgpack"
+	"threadrun/internal/testseed"
+	"threadrun/internal/testserver"
+	"threadrun/internal/transport"
+	"threadrun/simulation/network"
+)
+
+// TestMain fixes the seed of the property-based tests.
+func TestMain(m *testing.M) { testseed.Main(m, 20261204, 0) }
+
+const testObject = "00000000000000aa"
+
+// largeRequest returns an encoded request with a body.
+func largeRequest(id uint64, bodySize int) []byte {
+	return testserver.Request(id, "order", testserver.RequestParams(id, testObject, time.Second), make([]byte, bodySize))
+}
+
+// Guards against lost requests: while another client's incomplete request used up the memory, the server dropped a
+// large request that arrived in two pieces, and all that followed on the connection, and closed the connection later.
+// The large request must be rejected, and the one behind it must arrive.
+func TestLargeRequestIsRejectedWhileOthersHoldTheMemory(t *testing.T) {
+	const clientBytes = 100_000
+	handler := &recordingHandler{}
+	e, s, address := openServer(t, handler, clientBytes)
+	defer e.Stop()
+	hoarder, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = hoarder.Close() }()
+	_, _ = hoarder.Write(largeRequest(1, 1_000_000)[:clientBytes-maxSmallRequest])
+	waitUntil(t, e, "the bytes of the other client were not stored", func() bool {
+		return s.incompleteBytes == clientBytes-maxSmallRequest
+	})
+	client, err := testserver.Connect(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	firstID, firstAnswer := client.Send("page", testserver.RequestParams(1, testObject, time.Second), nil)
+	write, read := largeRequest(firstID+1, maxBody), largeRequest(firstID+2, 0)
+	client.Write(write[:len(write)/2])
+	waitUntil(t, e, "the first half of the large request was not read", func() bool {
+		for c := range s.connections {
+			if len(c.openRequests) == 1 && c.awaitingRequestSince.After(time.Time{}) {
+				return true
+			}
+		}
+		return false
+	})
+	client.Write(append(write[len(write)/2:], read...))
+	select {
+	case a := <-client.Unexpected: // it was sent by Write
+		if a.ID != firstID+1 || a.Error != "Shed" {
+			t.Errorf("answer %+v, want request %d rejected with \"Shed\"", a, firstID+1)
+		}
+	case <-client.Closed():
+		t.Fatal("the connection was closed")
+	case <-time.After(10 * time.Second):
+		t.Fatal("the large request got no answer")
+	}
+	waitUntil(t, e, "the request behind the large one did not arrive", func() bool { return handler.arrived == 2 })
+	e.Do(func() {
+		s.Tick(time.Now())
+		handler.first.Reject(1, 0)
+		if s.incompleteBytes > clientBytes {
+			t.Errorf("%d bytes of incomplete requests are stored, want at most %d", s.incompleteBytes, clientBytes)
+		}
+	})
+	if a := <-firstAnswer; a.Error != "Shed" {
+		t.Errorf("the first request was answered with error %q, want \"Shed\"", a.Error)
+	}
+}
+
+// answeringHandler is a Handler that rejects each request at once, with a time to retry.
+type answeringHandler struct{ recordingHandler }
+
+func (h *answeringHandler) StartRequest(c Client, number RequestNumber, _ *Request) bool {
+	h.arrived++
+	c.Reject(number, clock.Millisecond)
+	return true
+}
+
+// pieceClient is the client's side of a simulated connection. It records the ids of the answers.
+type pieceClient struct {
+	received transport.ReceiveBuffer
+	engine   *transport.Engine
+	answered []uint64
+	closed   error
+}
+
+func (p *pieceClient) Data(b []byte) error { return p.received.Decode(p.engine, b, p) }
+func (p *pieceClient) Closed(err error)    { p.closed = err }
+
+func (p *pieceClient) Next(b []byte) (int, error) {
+	size, err := msgpack.Size(b, maxMessage)
+	if err != nil {
+		return 0, nil
+	}
+	r := msgpack.Read(b[:size])
+	r.Array()
+	r.Uint()
+	p.answered = append(p.answered, r.Uint())
+	return size, nil
+}
+
+// Without memory for incomplete requests, each request gets one answer, in whichever pieces the requests arrive.
+func TestRequestsInPiecesWithoutMemory(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		world := network.New(1)
+		routerHost := world.AddHost("router", netip.MustParseAddr("10.0.0.1"))
+		clientHost := world.AddHost("client", netip.MustParseAddr("10.0.0.2"))
+		engine := transport.NewWithRuntime(routerHost.Start(), log)
+		handler := &answeringHandler{}
+		s := NewServer(engine, log, handler, Limits{Connections: 8, UnreadBytes: 1 << 20, IdleTimeout: time.Minute})
+		engine.SetMaxAccepted(8)
+		_ = engine.Listen("10.0.0.1:80", s.Accept)
+		client := &pieceClient{engine: transport.NewWithRuntime(clientHost.Start(), log)}
+		var conn *transport.Conn
+		client.engine.Do(func() { conn = client.engine.Dial("10.0.0.1:80", time.Second, client) })
+
+		var stream []byte
+		count := rapid.IntRange(1, 5).Draw(rt, "requests")
+		for id := 1; id <= count; id++ {
+			size := rapid.SampledFrom([]int{0, 3000, 5000, 20_000, maxBody}).Draw(rt, "body")
+			stream = append(stream, largeRequest(uint64(id), size)...)
+		}
+		now := 10 * clock.Millisecond
+		for world.Run(now); len(stream) > 0; world.Run(now) {
+			piece := min(rapid.SampledFrom([]int{1, 10, 1000, 4500, 30_000, len(stream)}).Draw(rt, "piece"), len(stream))
+			client.engine.Do(func() { conn.Send(stream[:piece]) })
+			stream = stream[piece:]
+			now += 100 * clock.Millisecond
+			engine.Do(func() {
+				if s.incompleteBytes > maxSmallRequest {
+					rt.Fatalf("%d bytes of incomplete requests are stored, want at most %d", s.incompleteBytes, maxSmallRequest)
+				}
+			})
+		}
+		seen := map[uint64]bool{}
+		for _, id := range client.answered {
+			seen[id] = true
+		}
+		if len(client.answered) != count || len(seen) != count || client.closed != nil {
+			rt.Fatalf("answers to the requests %v of %d, %d of which arrived; the connection ended with %v, want it open",
+				client.answered, count, handler.arrived, client.closed)
+		}
+	})
+}
+
+// While a large request is discarded, a cancellation behind the rest of it must be found after a stall, and the
+// connection must count as one on which a request is being received.
+func TestCanceledBehindADiscardedRequest(t *testing.T) {
+	handler := &recordingHandler{}
+	e, s, address := openServer(t, handler, 0)
+	defer e.Stop()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	first, large := largeRequest(1, 0), largeRequest(2, maxBody)
+	_, _ = conn.Write(append(first, large[:20_000]...))
+	var c *connection
+	waitUntil(t, e, "the part of the large request was not discarded", func() bool {
+		for c = range s.connections { // finds the only connection
+		}
+		return c != nil && len(c.openRequests) == 1 && c.received.Len() == 0 && c.partlyReceived() && !c.conn.HasUnread()
+	})
+	e.Do(func() {
+		_, _ = conn.Write(append(large[20_000:], "\x93\x02\xa6giveUp\x91\x01"...))
+		buffer := make([]byte, maxPeek)
+		for i, unread := 0, 0; i < 5000 && unread < len(large)-20_000+11; i++ {
+			time.Sleep(time.Millisecond)
+			unread, _ = c.conn.Peek(buffer)
+		}
+		s.Stalled(time.Now().Add(-time.Second))
+		if state := c.State(c.openRequests[0].number); state != ClientGone {
+			t.Errorf("the client's state is %d, want %d: the cancellation is unread", state, ClientGone)
+		}
+	})
+	waitUntil(t, e, "the cancellation was not read", func() bool {
+		return handler.clientsLeft == 1 && !c.partlyReceived()
+	})
+	if handler.arrived != 1 {
+		t.Errorf("%d requests arrived, want the first one only", handler.arrived)
+	}
+}
--- a/internal/frontend/draining.go
+++ b/internal/frontend/draining.go
@@ -22,7 +22,7 @@
 	var idle []*connection
 	for c := range s.connections {
 		justAccepted := !c.hasReceived && now.Sub(c.lastActive) < lingerTime
-		if !c.writeClosed && !justAccepted && c.idle() && c.received.Len() == 0 && !c.conn.HasUnread() {
+		if !c.writeClosed && !justAccepted && c.idle() && !c.partlyReceived() && !c.conn.HasUnread() {
 			idle = append(idle, c)
 		}
 	}
@@ -42,7 +42,7 @@
 		return false
 	}
 	for c := range s.connections {
-		if partlyReceived := c.received.Len() > 0; !c.writeClosed && !partlyReceived {
+		if !c.writeClosed && !c.partlyReceived() {
 			return false
 		}
 	}
--- a/internal/frontend/limits.go
+++ b/internal/frontend/limits.go
@@ -7,8 +7,8 @@
 	requestTimeout = 2500 * time.Millisecond
 	// maxEvictionTries is the maximum number of connections that are considered for one eviction.
 	maxEvictionTries = 8
-	// The connection limit counts as reached until the number of connections falls below this fraction of it, so that a
-	// number that varies around the limit is not logged repeatedly.
+	// A limit counts as reached until the number that it limits falls below this fraction of it, so that a number that
+	// varies around the limit is not logged repeatedly.
 	belowLimitNumerator   = 3
 	belowLimitDenominator = 4
 )
@@ -45,10 +45,7 @@
 // Tick closes connections whose clients broke the protocol, exceed a limit, or are idle for too long. It must be called
 // under the engine's lock some tens of times per second.
 func (s *Server) Tick(now time.Time) {
-	if s.atConnectionLimit && len(s.connections) < s.limits.Connections*belowLimitNumerator/belowLimitDenominator {
-		s.atConnectionLimit = false
-		s.log.WithField("connections", len(s.connections)).Info("connections below limit again")
-	}
+	s.logBelowLimits()
 	total, mostUnsent := 0, 0
 	var slowestReader *connection
 	for c := range s.connections {
@@ -69,6 +66,20 @@
 	}
 }
 
+// logBelowLimits logs that a limit which was reached is no longer.
+func (s *Server) logBelowLimits() {
+	if s.atConnectionLimit && clearlyBelow(len(s.connections), s.limits.Connections) {
+		s.atConnectionLimit = false
+		s.log.WithField("connections", len(s.connections)).Info("connections below limit again")
+	}
+	if s.atMemoryLimit && clearlyBelow(s.incompleteBytes, s.limits.ClientBytes) {
+		s.atMemoryLimit = false
+		s.log.WithField("bytes", s.incompleteBytes).Info("incomplete requests below the memory limit again")
+	}
+}
+
+func clearlyBelow(n, limit int) bool { return n < limit*belowLimitNumerator/belowLimitDenominator }
+
 // recordProgress updates lastProgress if the client has read since the last call, or has nothing to read.
 func (c *connection) recordProgress(unsent int, now time.Time) {
 	sent := c.conn.Sent()
--- a/internal/frontend/messages.go
+++ b/internal/frontend/messages.go
@@ -8,18 +8,28 @@
 // handleMessage handles one complete message. If it returns an error, the connection must be closed.
 func (c *connection) handleMessage(message []byte) error {
 	r := msgpack.Read(message)
-	length := r.Array()
-	kind := r.Uint()
+	kind, err := readKind(&r)
 	switch {
-	case r.Err() != nil:
-		return errNotRPC
-	case kind == kindNotification && length == notificationLength:
+	case err != nil:
+		return err
+	case kind == kindNotification:
 		c.handleNotification(message)
 		return nil
-	case kind == kindRequest && length == requestLength:
-		return c.handleRequest(&r)
 	}
-	return errNotRPC
+	return c.handleRequest(&r)
+}
+
+// readKind reads the start of a message: kindRequest or kindNotification, and the length that goes with it. Anything
+// else is an error.
+func readKind(r *msgpack.Reader) (kind uint64, err error) {
+	length := r.Array()
+	kind = r.Uint()
+	isRequest := kind == kindRequest && length == requestLength
+	isNotification := kind == kindNotification && length == notificationLength
+	if r.Err() != nil || !isRequest && !isNotification {
+		return 0, errNotRPC
+	}
+	return kind, nil
 }
 
 // handleNotification handles a cancellation. It ignores other notifications, and cancellations of requests that are
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -37,9 +37,10 @@
 	draining       bool      // Drain was called: all requests are rejected
 	lastCloseWrite time.Time // when CloseIdle last closed a connection's sending side
 
-	openRequestCount int // number of requests without an answer
-	incompleteBytes  int // number of stored bytes of incomplete requests
-	bodyBytes        int // number of stored bytes of the bodies of open requests
+	atMemoryLimit    bool // a message was discarded, and incompleteBytes has not fallen clearly below the limit since
+	openRequestCount int  // number of requests without an answer
+	incompleteBytes  int  // number of stored bytes of incomplete requests
+	bodyBytes        int  // number of stored bytes of the bodies of open requests
 
 	lastLogged time.Time // when logClosed last logged a connection
 	suppressed int       // number of connections that logClosed has not logged since
--- a/internal/msgpack/msgpack.go
+++ b/internal/msgpack/msgpack.go
@@ -1,5 +1,5 @@
-// Package msgpack decodes MessagePack in place and encodes it. It implements only what the client protocol needs. It
-// keeps no state: the caller passes an incomplete message to Size again when more bytes have arrived.
+// Package msgpack decodes MessagePack in place and encodes it. It implements only what the client protocol needs. The
+// caller passes an incomplete message to Size again when more bytes have arrived; only a Skipper keeps state.
 package msgpack
 
 import (
--- a/internal/msgpack/msgpack_test.go
+++ b/internal/msgpack/msgpack_test.go
@@ -13,50 +13,56 @@
 // TestMain fixes the seed of the random runs.
 func TestMain(m *testing.M) { testseed.Main(m, 20261201, 0) }
 
+// drawValue draws a value with any nesting, in any of its encodings.
+func drawValue(t *rapid.T) []byte {
+	var b []byte
+	var value func(depth int)
+	value = func(depth int) {
+		kind := rapid.IntRange(0, 7).Draw(t, "kind")
+		if depth > 3 {
+			kind %= 5
+		}
+		switch kind {
+		case 0:
+			b = AppendNil(b)
+		case 1:
+			b = AppendUint(b, rapid.Uint64().Draw(t, "n"))
+		case 2:
+			b = AppendStr(b, rapid.StringN(0, 300, 400).Draw(t, "s"))
+		case 3:
+			bin := rapid.SliceOfN(rapid.Byte(), 0, 70000).Draw(t, "bin")
+			b = append(AppendBinHead(b, len(bin)), bin...)
+		// Encodings that the append functions never produce: other widths, signed and floating-point numbers,
+		// extensions.
+		case 4:
+			encodings := [][]byte{{0xd0, 0xff}, {0xd1, 1, 2}, {0xd2, 0, 0, 0, 1}, {0xcb, 1, 2, 3, 4, 5, 6, 7, 8}, {0xe0},
+				{0xca, 1, 2, 3, 4}, {0xd4, 1, 2}, {0xc7, 1, 5, 9}, {0xda, 0, 1, 'x'}, {0xdb, 0, 0, 0, 1, 'y'}, {0xc3},
+				{0xd3, 0, 0, 0, 0, 0, 0, 0, 9}, {0xc6, 0, 0, 0, 1, 7}, {0xdd, 0, 0, 0, 0}, {0xdf, 0, 0, 0, 0}}
+			b = append(b, rapid.SampledFrom(encodings).Draw(t, "form")...)
+		case 5, 6:
+			n := rapid.IntRange(0, 20).Draw(t, "length")
+			b = AppendArray(b, n)
+			for ; n > 0; n-- {
+				value(depth + 1)
+			}
+		default:
+			n := rapid.IntRange(0, 4).Draw(t, "pairs")
+			b = AppendMap(b, n)
+			for ; n > 0; n-- {
+				value(depth + 1)
+				value(depth + 1)
+			}
+		}
+	}
+	value(0)
+	return b
+}
+
 // Every prefix of a message must be incomplete. Size must return the size of the whole message whatever follows it,
 // and must reject a message that is larger than the limit.
 func TestSplits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var b []byte
-		var value func(depth int)
-		value = func(depth int) {
-			kind := rapid.IntRange(0, 7).Draw(t, "kind")
-			if depth > 3 {
-				kind %= 5
-			}
-			switch kind {
-			case 0:
-				b = AppendNil(b)
-			case 1:
-				b = AppendUint(b, rapid.Uint64().Draw(t, "n"))
-			case 2:
-				b = AppendStr(b, rapid.StringN(0, 300, 400).Draw(t, "s"))
-			case 3:
-				bin := rapid.SliceOfN(rapid.Byte(), 0, 70000).Draw(t, "bin")
-				b = append(AppendBinHead(b, len(bin)), bin...)
-			// Encodings that the append functions never produce: other widths, signed and floating-point numbers,
-			// extensions.
-			case 4:
-				encodings := [][]byte{{0xd0, 0xff}, {0xd1, 1, 2}, {0xd2, 0, 0, 0, 1}, {0xcb, 1, 2, 3, 4, 5, 6, 7, 8}, {0xe0},
-					{0xca, 1, 2, 3, 4}, {0xd4, 1, 2}, {0xc7, 1, 5, 9}, {0xda, 0, 1, 'x'}, {0xdb, 0, 0, 0, 1, 'y'}, {0xc3},
-					{0xd3, 0, 0, 0, 0, 0, 0, 0, 9}, {0xc6, 0, 0, 0, 1, 7}, {0xdd, 0, 0, 0, 0}, {0xdf, 0, 0, 0, 0}}
-				b = append(b, rapid.SampledFrom(encodings).Draw(t, "form")...)
-			case 5, 6:
-				n := rapid.IntRange(0, 20).Draw(t, "length")
-				b = AppendArray(b, n)
-				for ; n > 0; n-- {
-					value(depth + 1)
-				}
-			default:
-				n := rapid.IntRange(0, 4).Draw(t, "pairs")
-				b = AppendMap(b, n)
-				for ; n > 0; n-- {
-					value(depth + 1)
-					value(depth + 1)
-				}
-			}
-		}
-		value(0)
+		b := drawValue(t)
 		length := len(b)
 		cut := rapid.IntRange(0, length-1).Draw(t, "cut")
 		if _, err := Size(b[:cut], length); !errors.Is(err, ErrIncomplete) {
