Front end: close the client that has stopped reading, not the one with the most unread

Cause: as for incomplete requests, a limit on a sum over all clients was enforced on one that was not at fault. Tick closed the connection with the most unread bytes.

Change: Tick closes the client that has read nothing for the longest time; among clients that have all read since the last tick, the one with the most left. The limit is the same.

--- a/internal/frontend/discard_test.go
+++ b/internal/frontend/discard_test.go
@@ -23,6 +23,12 @@
 
 const testObject = "00000000000000aa"
 
+func quietLogger() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
 // largeRequest returns an encoded request with a body.
 func largeRequest(id uint64, bodySize int) []byte {
 	return testserver.Request(id, "order", testserver.RequestParams(id, testObject, time.Second), make([]byte, bodySize))
@@ -120,8 +126,7 @@
 // Without memory for incomplete requests, each request gets one answer, in whichever pieces the requests arrive.
 func TestRequestsInPiecesWithoutMemory(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		log := logrus.New()
-		log.SetOutput(io.Discard)
+		log := quietLogger()
 		world := network.New(1)
 		routerHost := world.AddHost("router", netip.MustParseAddr("10.0.0.1"))
 		clientHost := world.AddHost("client", netip.MustParseAddr("10.0.0.2"))
--- a/internal/frontend/limits.go
+++ b/internal/frontend/limits.go
@@ -46,7 +46,7 @@
 // under the engine's lock some tens of times per second.
 func (s *Server) Tick(now time.Time) {
 	s.logBelowLimits()
-	total, mostUnsent := 0, 0
+	total := 0
 	var slowestReader *connection
 	for c := range s.connections {
 		unsent := c.unsentBytes()
@@ -56,9 +56,8 @@
 			continue
 		}
 		total += unsent
-		if unsent > mostUnsent {
+		if unsent > 0 && (slowestReader == nil || c.readsSlower(slowestReader)) {
 			slowestReader = c
-			mostUnsent = unsent
 		}
 	}
 	if total > s.limits.ClientBytes { // each client is within its own limit, but together they would fill the memory
@@ -80,6 +79,15 @@
 
 func clearlyBelow(n, limit int) bool { return n < limit*belowLimitNumerator/belowLimitDenominator }
 
+// readsSlower reports whether the client has read nothing for longer than that of other or, if both have read since the
+// last Tick, has more left to read. A client that reads may have the most left, just after a large answer.
+func (c *connection) readsSlower(other *connection) bool {
+	if !c.lastProgress.Equal(other.lastProgress) {
+		return c.lastProgress.Before(other.lastProgress)
+	}
+	return c.unsentBytes() > other.unsentBytes()
+}
+
 // recordProgress updates lastProgress if the client has read since the last call, or has nothing to read.
 func (c *connection) recordProgress(unsent int, now time.Time) {
 	sent := c.conn.Sent()
