--- a/internal/frontend/discard_test.go
+++ b/internal/frontend/discard_test.go
@@ -1,39 +1,20 @@
 package frontend
 
 import (
-	"io"
 	"net"
 	"net/netip"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"pgregory.net/rapid"
 
 	"threadrun/internal/clock"
 	"threadrun/internal/msgpack"
-	"threadrun/internal/testseed"
 	"threadrun/internal/testserver"
 	"threadrun/internal/transport"
 	"threadrun/simulation/network"
 )
 
-// TestMain fixes the seed of the property-based tests.
-func TestMain(m *testing.M) { testseed.Main(m, 20261204, 0) }
-
-const testObject = "00000000000000aa"
-
-func quietLogger() *logrus.Logger {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	return log
-}
-
-// largeRequest returns an encoded request with a body.
-func largeRequest(id uint64, bodySize int) []byte {
-	return testserver.Request(id, "order", testserver.RequestParams(id, testObject, time.Second), make([]byte, bodySize))
-}
-
 // Guards against lost requests: while another client's incomplete request used up the memory, the server dropped a
 // large request that arrived in two pieces, and all that followed on the connection, and closed the connection later.
 // The large request must be rejected, and the one behind it must arrive.
--- a/internal/frontend/server_test.go
+++ b/internal/frontend/server_test.go
@@ -1,71 +1,14 @@
 package frontend
 
 import (
-	"io"
-	"net"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
-	"threadrun/internal/clock"
 	"threadrun/internal/testserver"
 	"threadrun/internal/transport"
-	"threadrun/routing"
 )
 
-// recordingHandler is a Handler that counts requests and does not answer them.
-type recordingHandler struct {
-	arrived, clientsLeft int            // number of calls of StartRequest and ClientLeft
-	reportStallsTo       *Server        // DetectStall reports a stall of one second to it; nil: no stalls
-	first                Client         // client of the first request
-	unreadFor            routing.Micros // UnreadFor of the last request
-}
-
-func (h *recordingHandler) Ready() bool                          { return true }
-func (h *recordingHandler) Class([]byte) (routing.ClassID, bool) { return 0, true }
-func (h *recordingHandler) Tenant([]byte) routing.TenantID       { return routing.NoTenant }
-func (h *recordingHandler) StartRequest(c Client, _ RequestNumber, request *Request) bool {
-	h.arrived++
-	h.unreadFor = request.UnreadFor
-	if h.first == nil {
-		h.first = c
-	}
-	return true
-}
-func (h *recordingHandler) ClientLeft(routing.RequestID) { h.clientsLeft++ }
-func (h *recordingHandler) DetectStall() {
-	if h.reportStallsTo != nil {
-		h.reportStallsTo.Stalled(time.Now().Add(-time.Second))
-	}
-}
-
-// openServer starts a Server for at most 100 clients, with clientBytes as the limit on the bytes stored for them.
-func openServer(t *testing.T, handler *recordingHandler, clientBytes int) (
-	e *transport.Engine, s *Server, address string) {
-	t.Helper()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	e, err := transport.New(log, 256)
-	if err != nil {
-		t.Fatal(err)
-	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address = l.Addr().String()
-	_ = l.Close()
-	limits := Limits{Connections: 100, UnreadBytes: 1 << 20, ClientBytes: clientBytes, IdleTimeout: time.Minute}
-	s = NewServer(e, log, handler, limits)
-	e.SetMaxAccepted(100)
-	if err := e.Listen(address, s.Accept); err != nil {
-		t.Fatal(err)
-	}
-	return e, s, address
-}
-
 // The connection of a client that sends nothing, or that sends a request byte by byte, must be closed after
 // requestTimeout, so that such clients do not use up the connections. A client that has sent a complete request may be
 // idle for longer.
@@ -251,22 +194,6 @@
 	})
 }
 
-// waitUntil waits until a condition holds, which it evaluates under the lock. It fails the test with a message if the
-// condition still does not hold after at least 5 s.
-func waitUntil(t *testing.T, e *transport.Engine, message string, condition func() bool) {
-	t.Helper()
-	for i := 0; ; i++ {
-		done := false
-		if e.Do(func() { done = condition() }); done {
-			return
-		}
-		if i > 5000 {
-			t.Fatal(message)
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
 // A request that was read must be answered even if an invalid message follows it on the connection. The connection must
 // be closed only answerTransitTime after the answer, and messages after the invalid one must be ignored.
 func TestAnsweredBeforeABrokenConnectionEnds(t *testing.T) {
@@ -311,75 +238,6 @@
 	}
 }
 
-// A request must be rejected at once if its client has closed its sending side after it: the client may have
-// disconnected, and then no attempt may begin.
-func TestHalfClosedBehindARequest(t *testing.T) {
-	handler := &recordingHandler{}
-	e, _, address := openServer(t, handler, 1<<20)
-	defer e.Stop()
-	conn, err := net.Dial("tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = conn.Close() }()
-	e.Do(func() { // nothing is read meanwhile
-		_, _ = conn.Write(testserver.Request(1, "page", testserver.RequestParams(1, "00000000000000aa", time.Second), nil))
-		_ = conn.(*net.TCPConn).CloseWrite()
-	})
-	got, err := io.ReadAll(conn)
-	if err != nil || !strings.Contains(string(got), "Shed") {
-		t.Errorf("read %q with error %v, want a rejection and the end of the connection", got, err)
-	}
-	if e.Do(func() {}); handler.arrived != 0 {
-		t.Error("the request was passed to the handler")
-	}
-}
-
-// If a request and its cancellation are read together after a stall, the request must not be passed to the handler, but
-// other requests on the connection must be. A cancellation of a request that was passed on must be found while it is
-// unread.
-func TestCanceledWhileUnread(t *testing.T) {
-	handler := &recordingHandler{}
-	e, s, address := openServer(t, handler, 1<<20)
-	defer e.Stop()
-	e.Do(func() { handler.reportStallsTo = s })
-	conn, err := net.Dial("tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = conn.Close() }()
-	first := testserver.Request(1, "page", testserver.RequestParams(1, "00000000000000aa", time.Second), nil)
-	second := testserver.Request(2, "page", testserver.RequestParams(2, "00000000000000aa", time.Second), nil)
-	cancellation := []byte("\x93\x02\xa6giveUp\x91\x01") // of the first request
-	e.Do(func() { _, _ = conn.Write(append(append(first, second...), cancellation...)) })
-	waitUntil(t, e, "no request arrived", func() bool { return handler.arrived > 0 })
-	var c *connection
-	waitUntil(t, e, "the cancellation was not read", func() bool {
-		for c = range s.connections { // finds the only connection
-		}
-		return !c.conn.HasUnread()
-	})
-	e.Do(func() {
-		if handler.arrived != 1 || len(c.openRequests) != 1 || c.openRequests[0].id != 2 {
-			t.Errorf("%d requests arrived, want 1; open requests %+v, want only that with id 2", handler.arrived,
-				c.openRequests)
-		}
-		handler.DetectStall()
-		if c.State(c.openRequests[0].number) == ClientGone {
-			t.Error("the second request counts as canceled")
-		}
-		cancellation[len(cancellation)-1] = 2
-		_, _ = conn.Write(cancellation)
-		for i := 0; i < 5000 && !c.conn.HasUnread(); i++ {
-			time.Sleep(time.Millisecond)
-		}
-		handler.DetectStall()
-		if c.State(c.openRequests[0].number) != ClientGone || handler.clientsLeft != 0 {
-			t.Error("the unread cancellation of the second request was not found")
-		}
-	})
-}
-
 // A Server with an unread request must not count as idle, because a router that shuts down then would lose the request.
 func TestNotIdleWithARequestUnread(t *testing.T) {
 	e, s, address := openServer(t, &recordingHandler{}, 1<<20)
@@ -405,27 +263,3 @@
 		}
 	})
 }
-
-// If two stalls follow each other at once, a connection that was opened during the first may be accepted only after the
-// second. Its requests must then count as unread since the start of the first stall.
-func TestAcceptedAfterTwoStalls(t *testing.T) {
-	handler := &recordingHandler{}
-	e, s, address := openServer(t, handler, 1<<20)
-	defer e.Stop()
-	e.Do(func() {
-		conn, err := net.Dial("tcp", address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = conn.Close() })
-		request := testserver.Request(1, "page", testserver.RequestParams(1, "00000000000000aa", time.Second), nil)
-		_, _ = conn.Write(request)
-		now := time.Now()
-		s.Stalled(now.Add(-3 * time.Second))
-		s.Stalled(now)
-	})
-	waitUntil(t, e, "no request arrived", func() bool { return handler.arrived > 0 })
-	if handler.unreadFor < clock.FromDuration(3*time.Second) {
-		t.Errorf("unread for %s, want at least 3 s", handler.unreadFor.Duration())
-	}
-}
