Front end: discard the largest incomplete request, not the one that is just arriving

Change: limitIncompleteBytes discards the largest incomplete messages of any connection until the stored bytes are within the limit; those of up to 4 KB are kept as before. The limit is the same.

--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -48,7 +48,7 @@
 }
 
 // maxSmallRequest is a size in bytes that no request without a body exceeds. Incomplete requests up to this size are
-// stored even if Limits.ClientBytes is exceeded; larger ones are discarded then.
+// stored even if Limits.ClientBytes is exceeded; larger ones are discarded then: see limitIncompleteBytes.
 const maxSmallRequest = 4096
 
 // answerTransitTime is how long a connection stays open after the last answer, so that the answer can arrive.
@@ -84,11 +84,21 @@
 		c.discarded = nil
 	}
 	c.server.incompleteBytes += c.received.Len()
-	if err != nil && !c.safeToClose(c.lastActive) { // requests that were read earlier still get their answers
-		c.closeReason = err
-		return nil
+	if err != nil {
+		return c.closeWhenAnswered(err)
+	}
+	c.server.limitIncompleteBytes()
+	return nil
+}
+
+// closeWhenAnswered returns the reason if the connection is to be closed at once. Otherwise it makes the connection
+// drop all further bytes and close later: requests that were read earlier still get their answers.
+func (c *connection) closeWhenAnswered(reason error) error {
+	if c.safeToClose(c.lastActive) {
+		return reason
 	}
-	return err
+	c.closeReason = reason
+	return nil
 }
 
 // decode decodes received bytes, and returns an error if the connection must be closed. It updates
@@ -111,10 +121,6 @@
 	case c.sawMessage || c.awaitingRequestSince.IsZero():
 		c.awaitingRequestSince = c.lastActive
 	}
-	incomplete := c.received.Len()
-	if incomplete > maxSmallRequest && c.server.incompleteBytes+incomplete > c.server.limits.ClientBytes {
-		return c.discardIncomplete() // a flood of incomplete large requests would fill the memory
-	}
 	return nil
 }
 
--- a/internal/frontend/discard.go
+++ b/internal/frontend/discard.go
@@ -3,16 +3,55 @@
 import "threadrun/internal/msgpack"
 
 // discardedMessage is a message that has arrived in part and whose bytes are not stored, because the incomplete
-// requests of all clients exceed Limits.ClientBytes. The rest is skipped as it arrives. Then a request is rejected, so
-// that it gets its answer, and the messages behind it are handled as usual.
+// requests of all clients exceeded Limits.ClientBytes. The rest is skipped as it arrives. Then a request is rejected,
+// so that it gets its answer, and the messages behind it are handled as usual.
 type discardedMessage struct {
 	rest      msgpack.Skipper
 	isRequest bool
 	id        uint64 // the client's id of a request
 }
 
-// discardIncomplete replaces the stored part of an incomplete message by a discardedMessage. The part must contain the
-// message's kind and id. An error means that the connection must be closed.
+// limitIncompleteBytes discards the largest incomplete messages until the stored bytes of all are within
+// Limits.ClientBytes. Those of up to maxSmallRequest bytes are kept. So a flood of large messages does not fill the
+// memory, and those who send them go without before others do.
+func (s *Server) limitIncompleteBytes() {
+	for s.incompleteBytes > s.limits.ClientBytes {
+		c := s.largestIncomplete()
+		if c == nil {
+			return
+		}
+		s.logMemoryLimit()
+		s.incompleteBytes -= c.received.Len()
+		err := c.discardIncomplete()
+		c.received.Release(s.engine)
+		if err == nil {
+			continue
+		}
+		if err = c.closeWhenAnswered(err); err != nil {
+			c.conn.Fail(err)
+		}
+	}
+}
+
+// largestIncomplete returns the connection that stores the most bytes of an incomplete message, and more than
+// maxSmallRequest, or nil if there is none. Among connections with as many bytes it is the last that was accepted.
+func (s *Server) largestIncomplete() *connection {
+	var largest *connection
+	for c := range s.connections {
+		size := c.received.Len()
+		if size <= maxSmallRequest {
+			continue
+		}
+		if largest == nil || size > largest.received.Len() ||
+			size == largest.received.Len() && c.serial > largest.serial {
+			largest = c
+		}
+	}
+	return largest
+}
+
+// discardIncomplete begins to discard the message of which a part is stored, which the caller must release. The part
+// must contain the message's kind and id. An error means that the message is invalid.
 func (c *connection) discardIncomplete() error {
 	stored := c.received.Bytes()
 	r := msgpack.Read(stored)
@@ -30,10 +69,8 @@
 	if _, _, err := message.rest.Skip(stored); err != nil {
 		return err
 	}
-	c.backlog.bytesDecoded(len(stored), c.lastActive)
-	c.received.Release(c.server.engine)
+	c.backlog.bytesDecoded(len(stored), c.server.engine.Now())
 	c.discarded = message
-	c.server.memoryLimitReached()
 	return nil
 }
 
@@ -81,8 +118,8 @@
 // partlyReceived reports whether a message has arrived in part, stored or discarded.
 func (c *connection) partlyReceived() bool { return c.received.Len() > 0 || c.discarded != nil }
 
-// memoryLimitReached records that a message was discarded, and logs it once each time the limit is reached.
-func (s *Server) memoryLimitReached() {
+// logMemoryLimit logs that a message is about to be discarded, once each time the limit is reached.
+func (s *Server) logMemoryLimit() {
 	if s.atMemoryLimit {
 		return
 	}
