shardmap: a resumed router does not serve a map that others have replaced

Queries between routers got answers from two owners of a key; requests of clients do not use them.

Cause: a router that had been away served again as soon as a peer announced the map that it followed. The time of an announcement was that of its receipt. A process that was stopped finds announcements from before the others replaced the map in its socket, and the acknowledgement of its new ping may come in the same batch. Two routers that were away together also announced the replaced map to each other.

Evidence: in a scratch copy of the test that asked eight times as often, a router resumed at 55.686 s served map 1.1 from 55.771 s to 56.419 s, because of an announcement of 1.1 received at 55.7708 s; the others had served 1.2 since 55.589 s. No handling of a datagram spanned the pause.

Change: announcements do not shorten the wait. A router whose contact had not run out (1.2 s) when it noticed the pause serves again at once, as nobody can have declared it dead; any other waits 3 s in contact without a higher map, as before. Answers to queries for records use the same check of the contact as Serves, so that one sent before the first tick after a pause does not count as complete. The simulated socket of a paused router holds 277 datagrams like a real one, and is read in order, 64 in each tick; it held 64 and delivered all at once after a tick, which hid the fault.

--- a/cluster/membership/contact.go
+++ b/cluster/membership/contact.go
@@ -28,9 +28,13 @@
 	Settled  bool   // this router has run long enough to know the others, or knows of no others
 }
 
+// Recent reports whether another router is known to have heard this one so recently that none can have declared it
+// dead since, even if this process was stalled meanwhile.
+func (c Contact) Recent() bool { return c.SinceAck < contactTimeout }
+
 // Proven reports whether another router is known to hear this one. stalled says that this process was stalled since
 // its last tick (see MaxTickGap), which voids any earlier proof.
-func (c Contact) Proven(stalled bool) bool { return c.SinceAck < contactTimeout && !stalled }
+func (c Contact) Proven(stalled bool) bool { return c.Recent() && !stalled }
 
 // MayWork reports whether a router may run the tasks of its leases and serve its keys: the others hear it, or there
 // are no others. Thus routers on each side of a network partition continue to work. stalled has the same meaning as
--- a/cluster/node/query.go
+++ b/cluster/node/query.go
@@ -146,7 +146,7 @@
 // to it: the map is active, and this router is in contact with the others.
 func (v clusterView) ShardMap() (*shardmap.Map, bool) {
 	m, state := v.Shards.Map()
-	return m, state == shardmap.Active && v.Shards.InContact()
+	return m, state == shardmap.Active && v.Shards.InContact(v.now)
 }
 
 // Address returns the address of a router, or false if the router is not present or has no valid address.
--- a/cluster/shardmap/adopt.go
+++ b/cluster/shardmap/adopt.go
@@ -4,7 +4,6 @@
 	"log/slog"
 	"slices"
 
-	"threadrun/cluster/membership"
 	"threadrun/internal/clock"
 )
 
@@ -74,7 +73,7 @@
 	if i := m.OwnerIndex(mgr.selfOwner()); i != NoOwner {
 		mgr.confirmed[i/8] |= 1 << (i % 8)
 	}
-	if !mgr.inContact || mgr.now-mgr.lastTick > membership.MaxTickGap {
+	if !mgr.InContact(mgr.now) {
 		// Other routers may have served this router's keys meanwhile, under a map that it never followed.
 		mgr.served = nil
 	}
--- a/cluster/shardmap/contact.go
+++ b/cluster/shardmap/contact.go
@@ -25,22 +25,23 @@
 		}
 		mgr.inContact = false
 		mgr.lastOutOfContact = mgr.now
+		mgr.contactExpired = mgr.contactExpired || !contact.Recent()
 		return
 	}
 	if !mgr.inContact && mgr.mayResume(contact) {
 		mgr.inContact = true
+		mgr.contactExpired = false
 	}
 }
 
 // mayResume reports whether a router that is back in contact may serve keys again. Routers that believed this router
-// dead did not wait for its confirmation, and may serve its keys under a map that it has not adopted. It therefore
-// resumes only if a peer announces the map that this router follows, or if no higher map has been announced for
-// contactRecovery.
+// dead did not wait for its confirmation, and may serve its keys under a map that it has not adopted. Unless it was
+// stalled too briefly for that, it therefore resumes only if no higher map has been announced for contactRecovery.
+//
+// That a peer announces the map that this router follows is no proof that the map is still in use: the datagram may
+// have waited in this router's socket while the process was stalled, or the peer may have been believed dead, too.
 func (mgr *Manager) mayResume(contact membership.Contact) bool {
-	if contact.Alone || mgr.current == nil {
-		return true
-	}
-	if mgr.currentAnnouncedAt > mgr.lastOutOfContact {
+	if contact.Alone || mgr.current == nil || !mgr.contactExpired {
 		return true
 	}
 	return mgr.now-mgr.lastOutOfContact > contactRecovery && !mgr.isBehind()
--- a/cluster/shardmap/fetch.go
+++ b/cluster/shardmap/fetch.go
@@ -108,7 +108,6 @@
 // mergeConfirmed adds the owners that a peer knows to follow the current map to those that this router knows. Both
 // are bit sets by owner index. If the peer lacks some, it is sent this router's set.
 func (mgr *Manager) mergeConfirmed(from netip.AddrPort, confirmed []byte) {
-	mgr.currentAnnouncedAt = mgr.now
 	peerLacksSome := false
 	for i := range min(len(mgr.confirmed), len(confirmed)) {
 		if mgr.confirmed[i]&^confirmed[i] != 0 {
--- a/cluster/shardmap/manager.go
+++ b/cluster/shardmap/manager.go
@@ -49,9 +49,9 @@
 	candidates          Candidates
 	lastCandidateChange Micros // when a candidate last became present or absent, or restarted
 
-	inContact          bool   // this router may serve keys; set by updateContact
-	lastOutOfContact   Micros // time of the last Tick without proof of contact
-	currentAnnouncedAt Micros // when a peer last announced the map that this router follows
+	inContact        bool   // this router may serve keys; set by updateContact
+	lastOutOfContact Micros // time of the last Tick without proof of contact
+	contactExpired   bool   // others may have declared this router dead since inContact was last set
 
 	// The map that this router follows. Its state changes in adopt and activate only.
 	current   *Map       // nil: none yet
@@ -163,18 +163,21 @@
 	return candidate, known
 }
 
-// InContact reports whether this router may serve keys as far as its contact with the others is concerned.
-func (mgr *Manager) InContact() bool { return mgr.inContact }
+// InContact reports whether this router may serve keys now as far as its contact with the others is concerned. It
+// returns false if this process was stalled since the last Tick, because the others may have believed this router dead
+// meanwhile.
+func (mgr *Manager) InContact(now Micros) bool {
+	return mgr.inContact && now-mgr.lastTick <= membership.MaxTickGap
+}
 
 // Stats returns counts of events since the start.
 func (mgr *Manager) Stats() Stats { return mgr.stats }
 
 // Serves reports whether this router may answer for a key now, and under which map. It must be called immediately
-// before the reply: it returns false if this process was stalled since the last Tick, because the others may have
-// believed this router dead meanwhile. It also returns false while a peer announces a map of a later term, under
-// which another router may serve the key.
+// before the reply: it returns false while InContact does. It also returns false while a peer announces a map of a
+// later term, under which another router may serve the key.
 func (mgr *Manager) Serves(key Key, now Micros) (Version, bool) {
-	if mgr.current == nil || !mgr.inContact || mgr.laterTermAnnouncedAt > 0 || now-mgr.lastTick > membership.MaxTickGap {
+	if mgr.current == nil || !mgr.InContact(now) || mgr.laterTermAnnouncedAt > 0 {
 		return Version{}, false
 	}
 	i := sort.Search(len(mgr.served), func(i int) bool { return mgr.served[i].last >= key })
--- a/simulation/cluster/node.go
+++ b/simulation/cluster/node.go
@@ -17,8 +17,14 @@
 	kindLease      = 2
 )
 
-// socketQueueLimit is the number of datagrams that are kept for a paused router, like those in a socket's buffer.
-const socketQueueLimit = 64
+const (
+	// socketQueueLimit is the number of datagrams that are kept for a paused router. It is what the default
+	// receive buffer of a socket holds: 208 KB, of which a short datagram takes 768 bytes.
+	socketQueueLimit = 277
+	// receivedPerTick is the number of kept datagrams that a resumed router receives before each tick, as package
+	// peers does.
+	receivedPerTick = 64
+)
 
 // Node is one simulated router: its cores, its clock, and the leases that it holds.
 type Node struct {
@@ -41,7 +47,7 @@
 	held        map[lease.ID]bool
 	sortedHeld  []lease.ID // held, by id
 	heldSorted  bool       // sortedHeld agrees with held
-	socketQueue []event    // datagrams received while the router is paused
+	socketQueue []event    // datagrams that have arrived but not been received, oldest first
 }
 
 // clock returns the time of the router's own clock, whose offset differs from router to router.
@@ -117,8 +123,9 @@
 	n.runTasks()
 }
 
-// tickCores passes the time to the router's cores.
+// tickCores passes the next of the kept datagrams, and then the time, to the router's cores.
 func (n *Node) tickCores() {
+	n.receiveQueued()
 	now := n.clock()
 	if n.Core != nil {
 		n.Core.Tick(now)
@@ -128,12 +135,21 @@
 	n.Leases.Tick(now, n.Membership.Contact())
 }
 
-// receive passes a datagram to the core that it is for. Routers that don't run drop it, and paused ones queue it.
+// receive handles a datagram that arrives at the router's socket. Routers that don't run drop it. A paused router
+// keeps it, and so does a resumed one that has not received all earlier datagrams, because a socket is read in order.
 func (n *Node) receive(from netip.AddrPort, datagram []byte) {
 	switch {
 	case !n.Running:
-	case n.Paused:
+	case n.Paused || len(n.socketQueue) > 0:
 		n.queueDatagram(from, datagram)
+	default:
+		n.handle(from, datagram)
+	}
+}
+
+// handle passes a datagram to the core that it is for.
+func (n *Node) handle(from netip.AddrPort, datagram []byte) {
+	switch {
 	case len(datagram) == 0:
 	case n.Core != nil && n.Core.Receive(n.clock(), node.Kind(datagram[0]), from, datagram[1:]):
 	case datagram[0] == kindMembership:
@@ -143,7 +159,7 @@
 	}
 }
 
-// queueDatagram keeps a copy of a datagram until the router resumes, as the socket of a stopped process does.
+// queueDatagram keeps a copy of a datagram until the router receives it, as the socket of a stopped process does.
 // Datagrams beyond socketQueueLimit are dropped.
 func (n *Node) queueDatagram(from netip.AddrPort, datagram []byte) {
 	if len(n.socketQueue) < socketQueueLimit {
@@ -152,6 +168,15 @@
 	}
 }
 
+// receiveQueued handles the oldest kept datagrams, at most receivedPerTick.
+func (n *Node) receiveQueued() {
+	batch := n.socketQueue[:min(len(n.socketQueue), receivedPerTick)]
+	n.socketQueue = n.socketQueue[len(batch):]
+	for _, e := range batch {
+		n.handle(n.cluster.Nodes[e.from].Address, e.datagram)
+	}
+}
+
 // Kill ends a router without notice to the others, like SIGKILL.
 func (n *Node) Kill() {
 	if n.Running {
@@ -191,15 +216,11 @@
 // Pause suspends a router, like SIGSTOP.
 func (n *Node) Pause() { n.Paused = true }
 
-// Resume continues a paused router. Its cores tick once before it receives the datagrams that were queued while it
-// was paused.
+// Resume continues a paused router, which ticks at once. Like a process after SIGCONT, it finds the datagrams in its
+// socket that arrived during the pause, and receives them before any later one.
 func (n *Node) Resume() {
 	n.Paused = false
 	n.tickCores()
-	for _, e := range n.socketQueue {
-		n.receive(n.cluster.Nodes[e.from].Address, e.datagram)
-	}
-	n.socketQueue = nil
 }
 
 // ShiftClock moves a router's clock forward, or back if by is negative.
--- a/simulation/cluster/shardmapaudit_test.go
+++ b/simulation/cluster/shardmapaudit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -71,6 +72,9 @@
 			t.Fatalf("the paused router serves key %d before its first tick", k)
 		}
 	}
+	if router.Core.Shards.InContact(router.clock()) {
+		t.Error("the paused router is in contact before its first tick, so that its answers to queries count as complete")
+	}
 	router.Resume()
 	c.Run(c.Now + 10*second)
 	if audit.DoublyServed > 0 || !audit.Converged() {
@@ -78,6 +82,60 @@
 	}
 }
 
+// Guards against resumed routers that serve keys under an old map, which others have replaced during the pause. A map
+// is announced by datagrams that were sent before the pause and still wait in the socket, behind many others, and by
+// another router that resumes at the same time. Neither proves that the map is still in use.
+func TestResumedOwnersDoNotServeReplacedMap(t *testing.T) {
+	for seed := range uint32(150) {
+		c, audit := withShardMaps(seed, 5, 0.1)
+		c.Run(12 * second)
+		paused := c.Nodes[:1+seed%2]
+		for _, router := range paused {
+			router.Pause()
+			c.fillSocket(router)
+		}
+		c.Run(c.Now + 1800*ms + Micros(seed)*15*ms)
+		for _, router := range paused {
+			router.Resume()
+		}
+		c.Run(c.Now + 12*second)
+		if audit.DoublyServed > 0 || !audit.Converged() {
+			t.Errorf("seed %d: doubly served %d, converged %v", seed, audit.DoublyServed, audit.Converged())
+		}
+	}
+}
+
+// A router that was stalled too briefly for others to believe it dead serves its keys again within some ticks, without
+// an announcement by another router.
+func TestBrieflyStalledOwnerServesAgain(t *testing.T) {
+	for stall := 350 * ms; stall < 900*ms; stall += 50 * ms {
+		c, audit := withShardMaps(uint32(stall), 5, 0)
+		c.Run(12 * second)
+		router := c.Nodes[1]
+		m, _ := router.Core.Shards.Map()
+		own := m.OwnerIndex(shardmap.Owner{ID: router.ID(), Incarnation: router.Membership.Self().Incarnation})
+		key := m.Ranges[slices.IndexFunc(m.Ranges, func(r shardmap.Range) bool { return r.Owner == own })].First
+		router.Pause()
+		c.Run(c.Now + stall)
+		router.Resume()
+		if _, serves := router.Core.Shards.Serves(key, router.clock()); serves {
+			t.Errorf("stalled for %d ms: serves a key before its contact is known", stall/ms)
+		}
+		c.Run(c.Now + 100*ms)
+		if _, serves := router.Core.Shards.Serves(key, router.clock()); !serves || audit.DoublyServed > 0 {
+			t.Errorf("stalled for %d ms: serves its key %v, doubly served %d", stall/ms, serves, audit.DoublyServed)
+		}
+	}
+}
+
+// fillSocket sends a paused router a datagram of no content every 4 ms, like an observer of the cluster.
+func (c *Cluster) fillSocket(router *Node) {
+	if router.Paused {
+		router.receive(router.Address, nil)
+		c.At(c.Now+4*ms, func() { c.fillSocket(router) })
+	}
+}
+
 // A map that an operator pins becomes active when all routers that it names are present. When one of them dies,
 // another map is proposed; when that router is back, the pinned map is active again. A pinned map that violates the
 // rules on balance is not adopted, and one with a gap is rejected at once.
