TestShutdownUnderSteadyLoad: the end of a connection is its own end

Cause, in the test: a request counts as lost if it was sent more than 50 ms before its connection ended. The end was taken after the ends of the other clients' connections had been awaited in turn, so for the last client it was that of the last connection. Connections end when their last open request has timed out, up to an interval of 60 ms apart.

Change: the test client records when its connection ended. The bound of 50 ms and what counts as lost are unchanged.

--- a/cmd/threadrun/shutdown_test.go
+++ b/cmd/threadrun/shutdown_test.go
@@ -52,7 +52,8 @@
 
 // lost returns the number of requests without an answer that were sent more than crossingTime before the connection
 // ended.
-func (s *steadyClient) lost(ended time.Time) (lost int) {
+func (s *steadyClient) lost() (lost int) {
+	ended := s.client.EndedAt()
 	for _, r := range s.requests {
 		select {
 		case a := <-r.answers:
@@ -110,10 +111,8 @@
 		t.Fatal(err)
 	}
 	kill := time.AfterFunc(killAfter, func() { _ = router.Process.Kill() })
-	var endedAt []time.Time
 	for _, s := range clients {
 		<-s.ended
-		endedAt = append(endedAt, time.Now())
 	}
 	err = router.Wait()
 	if !kill.Stop() || err != nil {
@@ -121,7 +120,7 @@
 	}
 	done.Wait()
 	for i, s := range clients {
-		if lost := s.lost(endedAt[i]); lost > 0 {
+		if lost := s.lost(); lost > 0 {
 			t.Errorf("client %d: %d of %d requests are lost", i, lost, len(s.requests))
 		}
 	}
--- a/internal/testserver/client.go
+++ b/internal/testserver/client.go
@@ -19,6 +19,7 @@
 	pending    map[uint64]chan *Answer // by request id
 	Unexpected chan *Answer            // answers that no request is waiting for
 	closed     chan struct{}           // closed when the connection has ended
+	endedAt    time.Time               // when the connection ended; set before closed is closed
 }
 
 // Answer is a router's answer to a request.
@@ -52,6 +53,12 @@
 // Closed returns a channel that is closed when the connection has ended.
 func (c *Client) Closed() <-chan struct{} { return c.closed }
 
+// EndedAt returns when the connection ended. It waits until it has ended.
+func (c *Client) EndedAt() time.Time {
+	<-c.closed
+	return c.endedAt
+}
+
 // Write sends raw bytes.
 func (c *Client) Write(b []byte) { _, _ = c.conn.Write(b) }
 
@@ -129,6 +136,7 @@
 	for {
 		n, err := c.conn.Read(buffer)
 		if err != nil {
+			c.endedAt = time.Now()
 			return
 		}
 		received = append(received, buffer[:n]...)
