--- a/internal/frontend/cancellation.go
+++ b/internal/frontend/cancellation.go
@@ -25,7 +25,7 @@
 	if ended {
 		return true
 	}
-	peeked := c.behindDiscarded(s.peekBuffer[:n])
+	peeked := c.afterDiscarded(s.peekBuffer[:n])
 	buffered := c.received.Bytes()
 	if c.decoding {
 		buffered = c.undecoded
--- a/internal/frontend/discard.go
+++ b/internal/frontend/discard.go
@@ -74,9 +74,9 @@
 	return nil
 }
 
-// skipDiscarded skips the rest of the discarded message, if there is one, and returns the bytes behind it. A request
+// skipDiscarded skips the rest of the discarded message, if there is one, and returns the bytes after it. A request
 // that is complete is rejected.
-func (c *connection) skipDiscarded(b []byte) (behind []byte, err error) {
+func (c *connection) skipDiscarded(b []byte) (following []byte, err error) {
 	if c.discarded == nil {
 		return b, nil
 	}
@@ -102,8 +102,8 @@
 	return b[n:], nil
 }
 
-// behindDiscarded returns the part of unread bytes that follows the discarded message.
-func (c *connection) behindDiscarded(unread []byte) []byte {
+// afterDiscarded returns the part of unread bytes that follows the discarded message.
+func (c *connection) afterDiscarded(unread []byte) []byte {
 	if c.discarded == nil {
 		return unread
 	}
--- a/internal/frontend/discard_test.go
+++ b/internal/frontend/discard_test.go
@@ -42,9 +42,9 @@
 	}
 }
 
-// sendBehindAnOpenRequest connects a client that has an open request, and sends a large request in two pieces and a
+// sendAfterOpenRequest connects a client that has an open request, and sends a large request in two pieces and a
 // small one behind it. It returns the client and the id of the large request.
-func sendBehindAnOpenRequest(t *testing.T, e *transport.Engine, s *Server, address string) (
+func sendAfterOpenRequest(t *testing.T, e *transport.Engine, s *Server, address string) (
 	*testserver.Client, uint64) {
 	t.Helper()
 	client, err := testserver.Connect(address)
@@ -76,7 +76,7 @@
 	e, s, address := openServer(t, handler, clientBytes)
 	defer e.Stop()
 	rest := holdMemory(t, e, s, address, 1_000_000, clientBytes-maxSmallRequest)
-	client, _ := sendBehindAnOpenRequest(t, e, s, address)
+	client, _ := sendAfterOpenRequest(t, e, s, address)
 	waitUntil(t, e, "the requests did not arrive", func() bool { return handler.arrived == 3 })
 	if answer := rest(); !strings.Contains(answer, "Shed") {
 		t.Errorf("the client that held the memory read %q, want its request rejected with \"Shed\"", answer)
@@ -100,7 +100,7 @@
 	for range others {
 		holdMemory(t, e, s, address, maxBody, (clientBytes-maxSmallRequest)/others)
 	}
-	client, id := sendBehindAnOpenRequest(t, e, s, address)
+	client, id := sendAfterOpenRequest(t, e, s, address)
 	select {
 	case a := <-client.Unexpected: // the request was sent by Write
 		if a.ID != id || a.Error != "Shed" {
@@ -156,18 +156,14 @@
 // Without memory for incomplete requests, each request gets one answer, in whichever pieces the requests arrive.
 func TestRequestsInPiecesWithoutMemory(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		log := quietLogger()
 		world := network.New(1)
-		routerHost := world.AddHost("router", netip.MustParseAddr("10.0.0.1"))
-		clientHost := world.AddHost("client", netip.MustParseAddr("10.0.0.2"))
-		engine := transport.NewWithRuntime(routerHost.Start(), log)
 		handler := &answeringHandler{}
-		s := NewServer(engine, log, handler, Limits{Connections: 8, UnreadBytes: 1 << 20, IdleTimeout: time.Minute})
-		engine.SetMaxAccepted(8)
-		_ = engine.Listen("10.0.0.1:80", s.Accept)
-		client := &pieceClient{engine: transport.NewWithRuntime(clientHost.Start(), log)}
+		s, _ := simulatedServer(world, handler, 0)
+		engine := s.engine
+		clientHost := world.AddHost("client", netip.MustParseAddr("10.0.0.2"))
+		client := &pieceClient{engine: transport.NewWithRuntime(clientHost.Start(), quietLogger())}
 		var conn *transport.Conn
-		client.engine.Do(func() { conn = client.engine.Dial("10.0.0.1:80", time.Second, client) })
+		client.engine.Do(func() { conn = client.engine.Dial(simulatedAddress, time.Second, client) })
 
 		var stream []byte
 		count := rapid.IntRange(1, 5).Draw(rt, "requests")
--- a/internal/frontend/helpers_test.go
+++ b/internal/frontend/helpers_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"threadrun/internal/testserver"
 	"threadrun/internal/transport"
 	"threadrun/routing"
+	"threadrun/simulation/network"
 )
 
 // TestMain fixes the seed of the property-based tests.
@@ -80,6 +82,22 @@
 	return e, s, address
 }
 
+// simulatedAddress is where the server of simulatedServer listens.
+const simulatedAddress = "10.0.0.1:80"
+
+// simulatedServer adds a host to a simulated network and starts a Server on it, with limits like those of openServer.
+func simulatedServer(world *network.World, handler Handler, clientBytes int) (*Server, *network.Host) {
+	log := quietLogger()
+	address := netip.MustParseAddrPort(simulatedAddress)
+	host := world.AddHost("router", address.Addr())
+	engine := transport.NewWithRuntime(host.Start(), log)
+	limits := Limits{Connections: 8, UnreadBytes: 1 << 20, ClientBytes: clientBytes, IdleTimeout: time.Minute}
+	s := NewServer(engine, log, handler, limits)
+	engine.SetMaxAccepted(limits.Connections)
+	_ = engine.Listen(simulatedAddress, s.Accept)
+	return s, host
+}
+
 // waitUntil waits until a condition holds, which it evaluates under the lock. It fails the test with a message if the
 // condition still does not hold after at least 5 s.
 func waitUntil(t *testing.T, e *transport.Engine, message string, condition func() bool) {
--- a/internal/frontend/unread_test.go
+++ b/internal/frontend/unread_test.go
@@ -28,14 +28,9 @@
 func TestReadersAreNotClosedForThoseWhoStopReading(t *testing.T) {
 	const stopped, stoppedBytes, largeAnswer = 3, 400_000, 600_000
 	world := network.New(1)
-	log := quietLogger()
-	host := world.AddHost("router", netip.MustParseAddr("10.0.0.1"))
-	engine := transport.NewWithRuntime(host.Start(), log)
 	handler := &largeAnswers{}
-	s := NewServer(engine, log, handler,
-		Limits{Connections: 8, UnreadBytes: 1 << 20, ClientBytes: 1_200_000, IdleTimeout: time.Minute})
-	engine.SetMaxAccepted(8)
-	_ = engine.Listen("10.0.0.1:80", s.Accept)
+	s, host := simulatedServer(world, handler, 1_200_000)
+	engine := s.engine
 	runWithTicks := func(until clock.Micros) {
 		for world.Now() < until {
 			world.Run(world.Now() + 20*clock.Millisecond)
@@ -45,9 +40,9 @@
 	var clients []*pieceClient
 	for i := range stopped + 1 { // the last one reads
 		clientHost := world.AddHost(fmt.Sprint("client-", i), netip.AddrFrom4([4]byte{10, 0, 0, byte(2 + i)}))
-		client := &pieceClient{engine: transport.NewWithRuntime(clientHost.Start(), log)}
+		client := &pieceClient{engine: transport.NewWithRuntime(clientHost.Start(), quietLogger())}
 		client.engine.Do(func() {
-			conn := client.engine.Dial("10.0.0.1:80", time.Second, client)
+			conn := client.engine.Dial(simulatedAddress, time.Second, client)
 			conn.Send(largeRequest(1, 0))
 		})
 		clients = append(clients, client)
