Tests, simulation: a dead channel, a key found twice, a socket that outlived its process

Found on reading the change of this issue once more: - TestShutdownUnderSteadyLoad: steadyClient.ended only told when run returned, which the WaitGroup tells too, since each client records its own end. - TestBrieflyStalledOwnerServesAgain: the audit knows which router serves a key (serversOf); the test computed it again from the map. Its assertions are the same; without the early return of mayResume it fails for all 11 lengths. - simulation/cluster: a router that ended while it was paused kept the datagrams of its socket, and its next start received them, now that a start reads its socket. A start empties the socket, for all ways in which a router ends.

The product is unchanged.

--- a/cmd/threadrun/shutdown_test.go
+++ b/cmd/threadrun/shutdown_test.go
@@ -25,7 +25,6 @@
 	interval     time.Duration
 	firstTraceID uint64
 	requests     []steadyRequest
-	ended        chan struct{} // closed when the connection has ended
 }
 
 // steadyRequest is a request that a steadyClient has sent.
@@ -36,7 +35,6 @@
 
 // run sends requests until the connection ends.
 func (s *steadyClient) run() {
-	defer close(s.ended)
 	for {
 		select {
 		case <-s.client.Closed():
@@ -101,8 +99,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		steady := &steadyClient{client: client, interval: interval, firstTraceID: uint64(i+1) << 20,
-			ended: make(chan struct{})}
+		steady := &steadyClient{client: client, interval: interval, firstTraceID: uint64(i+1) << 20}
 		clients = append(clients, steady)
 		done.Go(steady.run)
 	}
@@ -111,14 +108,11 @@
 		t.Fatal(err)
 	}
 	kill := time.AfterFunc(killAfter, func() { _ = router.Process.Kill() })
-	for _, s := range clients {
-		<-s.ended
-	}
+	done.Wait()
 	err = router.Wait()
 	if !kill.Stop() || err != nil {
 		t.Errorf("the router did not exit by itself: %v\n%s", err, c.log(0))
 	}
-	done.Wait()
 	for i, s := range clients {
 		if lost := s.lost(); lost > 0 {
 			t.Errorf("client %d: %d of %d requests are lost", i, lost, len(s.requests))
--- a/simulation/cluster/node.go
+++ b/simulation/cluster/node.go
@@ -71,6 +71,7 @@
 	n.starts++
 	n.Running = true
 	n.Paused = false
+	n.socketQueue = nil // a new process has a new socket
 	n.held = map[lease.ID]bool{}
 	n.sortedHeld = nil
 	self := membership.Identity{
@@ -183,7 +184,6 @@
 		n.cluster.Leases.nodeKilled(n.index, n.cluster.Now)
 	}
 	n.Running = false
-	n.socketQueue = nil
 }
 
 // Leave shuts a router down gracefully. The router announces that it leaves, hands its leases over, and ends when it
--- a/simulation/cluster/shardmapaudit_test.go
+++ b/simulation/cluster/shardmapaudit_test.go
@@ -112,9 +112,9 @@
 		c, audit := withShardMaps(uint32(stall), 5, 0)
 		c.Run(12 * second)
 		router := c.Nodes[1]
-		m, _ := router.Core.Shards.Map()
-		own := m.OwnerIndex(shardmap.Owner{ID: router.ID(), Incarnation: router.Membership.Self().Incarnation})
-		key := m.Ranges[slices.IndexFunc(m.Ranges, func(r shardmap.Range) bool { return r.Owner == own })].First
+		key := audit.keys[slices.IndexFunc(audit.keys, func(k shardmap.Key) bool {
+			return slices.Contains(audit.serversOf(k), router.index)
+		})]
 		router.Pause()
 		c.Run(c.Now + stall)
 		router.Resume()
