--- a/review/stage/cache.go
+++ b/review/stage/cache.go
@@ -50,15 +50,35 @@
 	Name     string
 	listener net.Listener
 	handle   func(*Request)
+	mu       sync.Mutex
+	open     map[*conn]bool
+}
+
+// Kill closes the listener and resets all connections, as the end of a process does.
+func (c *Cache) Kill() {
+	_ = c.listener.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for connection := range c.open {
+		if t, ok := connection.Conn.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = connection.Close()
+	}
 }
 
 // StartCache starts a cache on a free loopback port.
 func StartCache(name string, handle func(*Request)) (*Cache, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return StartCacheAt(name, AnyPort, handle)
+}
+
+// StartCacheAt starts a cache at an address.
+func StartCacheAt(name, address string, handle func(*Request)) (*Cache, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	c := &Cache{Name: name, listener: l, handle: handle}
+	c := &Cache{Name: name, listener: l, handle: handle, open: map[*conn]bool{}}
 	go c.accept()
 	return c, nil
 }
@@ -72,7 +92,11 @@
 		if err != nil {
 			return
 		}
-		go c.serve(&conn{Conn: raw, open: map[string]*Request{}})
+		connection := &conn{Conn: raw, open: map[string]*Request{}}
+		c.mu.Lock()
+		c.open[connection] = true
+		c.mu.Unlock()
+		go c.serve(connection)
 	}
 }
 
@@ -80,6 +104,9 @@
 func (c *Cache) serve(connection *conn) {
 	defer func() {
 		_ = connection.Close()
+		c.mu.Lock()
+		delete(c.open, connection)
+		c.mu.Unlock()
 		connection.mu.Lock()
 		defer connection.mu.Unlock()
 		for _, r := range connection.open {
--- a/review/stage/deployment.go
+++ b/review/stage/deployment.go
@@ -13,12 +13,13 @@
 	Parents   []*Cache
 }
 
-const anyPort = "127.0.0.1:0"
+// AnyPort is a loopback address for which the system selects a free port.
+const AnyPort = "127.0.0.1:0"
 
 // StartDeployment starts a deployment. handle answers the requests of all caches of the branch. The parents and the
 // origin answer nothing: the caches of a case don't fill from them over sockets.
 func (s *Stage) StartDeployment(caches int, handle func(*Request)) (*Deployment, error) {
-	discovery, err := testserver.StartDiscovery(anyPort)
+	discovery, err := testserver.StartDiscovery(AnyPort)
 	if err != nil {
 		return nil, err
 	}
