--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,10 +1,10 @@
-// Command 9 plays a case of the review: a client asks for oversized objects on a connection with many open requests.
+// Command 9 plays a case of the review: a branch that is lost comes back cold, and the list tells of one cache first.
 package main
 
 import (
 	"fmt"
-	"io"
-	"net"
+	"math"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,168 +13,240 @@
 	"threadrun/review/stage"
 )
 
+// The load: sendTime is the time that sending an object takes, sizeKB over the settings' pace_kb_per_s.
 const (
-	duration    = 14 * time.Second
-	troubleAt   = 6 * time.Second
-	interval    = 9 * time.Millisecond // between two requests of the other client
-	timeout     = 5 * time.Second      // the deadline of the class
-	grace       = 550 * time.Millisecond
-	serviceTime = 30 * time.Millisecond
-	objects     = 100
-
-	usualBytes     = 15_000
-	oversizedBytes = 240_000 // 16 times as many, and the most that the protocol allows
-	openRequests   = 32      // on one connection: the most that the protocol allows
-	linkRate       = 2.0e6   // bytes a second that a client is sent
-	linkPiece      = 1 << 14
-	memoryMB       = 48
-	usualKB        = 100
-	class          = "guide-video"
+	clients         = 40
+	requestInterval = 46 * time.Millisecond // of each client: 870 requests a second in all
+	missOf          = 100                   // of so many requests
+	misses          = 27                    // so many are for an object that the caches lack
+	sizeKB          = 300.0
+	sendTime        = 100 * time.Millisecond
+	timeout         = 5 * time.Second
+	commonObjects   = 200
+	bodyBytes       = 500
+	caches          = 10
 )
 
+// The loss of the branch.
+const (
+	lostAt      = 14 * time.Second
+	removedIn   = 3 * time.Second        // from the loss until the list says so
+	backIn      = 9 * time.Second        // from the loss until the caches are back, cold and empty
+	firstToldIn = 300 * time.Millisecond // from then until the list says so of the first
+	restToldIn  = 2 * time.Second        // the same, of all others
+	duration    = 29 * time.Second
+)
+
+// The rule, with the figures of the settings and of the site: see claim.txt.
+const (
+	startShare   = 0.23
+	ramp         = 16.0 // in seconds
+	fallMultiple = 2.0
+	window       = 1.5           // in seconds
+	fullCapacity = 97.0 / caches // seconds of sending per second
+	fewRequests  = 30.0          // below it the slack is slackOfFew
+	slackOfFew   = 3.0           // times the root of the number, and as many more
+	slackOfMany  = 2.0           // the same
+	steps        = 100           // of the integration
+	seed         = 20261205      // of the clients' choice of objects
+	successor    = "s-99"        // the new cache
+	zone, kind   = "branch", "cache"
+	up, removed  = "up", "removed"
+	coldDetail   = "filled"  // the successor fills what it lacks
+	warmDetail   = "hit"     // all caches have the common objects, but for the successor
+	commonPrefix = "00"      // of the common objects
+	rareFormat   = "ff%014x" // of all others
+	objectFormat = "%016x"   // of the common objects
+	className    = "guide-video"
+)
+
+// arrivals are the requests that came whole to a cache that has come back, in seconds after its start.
+type arrivals struct {
+	name    string
+	mu      sync.Mutex
+	started time.Time
+	at      []float64
+	held    map[string]bool // the objects of which it has a copy
+}
+
+// answer answers as a cache that is empty at its start.
+func (a *arrivals) answer(r *stage.Request) {
+	object := r.Fields["path"]
+	a.mu.Lock()
+	a.at = append(a.at, time.Since(a.started).Seconds())
+	hit := a.held[object]
+	if r.Fields["src"] != "" {
+		a.held[object] = true
+	}
+	a.mu.Unlock()
+	serve(r, hit)
+}
+
+// serve answers with a copy, or with one that is filled from the source that is named.
+func serve(r *stage.Request, hit bool) {
+	switch {
+	case hit:
+		time.Sleep(sendTime)
+		stage.Data(r, bodyBytes, time.Now().Add(-time.Minute), warmDetail)
+	case r.Fields["src"] == "":
+		r.Reply("absent", "-", "")
+	default:
+		time.Sleep(sendTime)
+		stage.Data(r, bodyBytes, time.Now(), coldDetail)
+	}
+}
+
+// allowed returns how many requests a cache bears in the window that begins at a time after its start.
+func allowed(from float64) float64 {
+	work := 0.0
+	for i := range steps {
+		age := from + window*(float64(i)+0.5)/steps
+		share := math.Min(startShare+(1-startShare)*age/ramp, 1)
+		work += fallMultiple * fullCapacity * share * window / steps
+	}
+	n := work / sendTime.Seconds()
+	slack := slackOfMany
+	if n < fewRequests {
+		slack = slackOfFew
+	}
+	return n + slack*math.Sqrt(n) + slack
+}
+
+// count returns how many requests arrived in a time after the start.
+func (a *arrivals) count(from, to float64) (n int) {
+	for _, at := range a.at {
+		if at >= from && at < to {
+			n++
+		}
+	}
+	return n
+}
+
+// worst returns the window with the most requests above what is allowed, or the least below it.
+func (a *arrivals) worst() (from float64, n int, bound float64) {
+	excess := math.Inf(-1)
+	for _, first := range a.at {
+		b := allowed(first)
+		if c := a.count(first, first+window); float64(c)-b > excess {
+			excess = float64(c) - b
+			from, n, bound = first, c, b
+		}
+	}
+	return from, n, bound
+}
+
 func main() { stage.Play("9", play) }
 
 func play(s *stage.Stage) (string, error) {
-	deployment, err := s.StartDeployment(10, func(r *stage.Request) {
-		time.Sleep(serviceTime)
-		size := usualBytes
-		if r.Fields["path"][0] == 'f' {
-			size = oversizedBytes
-		}
-		stage.Data(r, size, time.Now().Add(-time.Minute), "hit")
+	deployment, err := s.StartDeployment(caches, func(r *stage.Request) {
+		serve(r, r.Fields["path"][:len(commonPrefix)] == commonPrefix)
 	})
 	if err != nil {
 		return "", err
 	}
-	router, err := s.StartRouter(deployment.Configuration(stage.Limits{MemoryMB: memoryMB, Sockets: 1024}))
+	router, err := s.StartRouter(deployment.Configuration(stage.Limits{MemoryMB: 192, Sockets: 1024}))
 	if err != nil {
 		return "", err
 	}
-	end := time.Now().Add(duration)
-	var sent, answered atomic.Int64
-	if err := request(router.Address, end, &sent, &answered); err != nil {
-		return "", err
+	start := time.Now()
+	var served, refused atomic.Int64
+	for i := range clients {
+		go request(router.Address, i, start.Add(duration), &served, &refused)
 	}
-	time.Sleep(troubleAt)
-	lost, err := askAtOnce(s, router.Address)
+	time.Sleep(lostAt)
+	s.Note("before the loss: %d served, %d refused", served.Load(), refused.Load())
+	back, err := loseBranch(s, deployment)
 	if err != nil {
 		return "", err
 	}
-	time.Sleep(time.Until(end))
-	share := float64(openRequests) / float64(sent.Load()+openRequests)
-	s.Note("the other client: %d requests sent, %d answered; the %d at once are %.1f %% of all", sent.Load(),
-		answered.Load(), openRequests, 100*share)
-	if lost > 0 {
-		return fmt.Sprintf("%d of %d requests were lost with their connection, before their answers had begun", lost,
-			openRequests), nil
+	time.Sleep(time.Until(start.Add(duration)))
+	s.Note("at the end: %d served, %d refused", served.Load(), refused.Load())
+	broken := ""
+	for _, cold := range back {
+		if rule := cold.judge(s); broken == "" {
+			broken = rule
+		}
 	}
-	return "", nil
+	return broken, nil
 }
 
-// request requests objects of the usual size at a steady rate.
-func request(address string, end time.Time, sent, answered *atomic.Int64) error {
-	client, err := testserver.Connect(address)
-	if err != nil {
-		return err
-	}
-	go func() {
-		for trace := uint64(1); time.Now().Before(end); trace++ {
-			object := fmt.Sprintf("%016x", trace%objects)
-			_, answers := client.Send(class, stage.Fields(trace, object, 0, timeout, usualKB), nil)
-			sent.Add(1)
-			go func() {
-				<-answers
-				answered.Add(1)
-			}()
-			time.Sleep(interval)
-		}
-	}()
-	return nil
+// judge notes what came to a cache, and returns how that broke the rule, or an empty string.
+func (a *arrivals) judge(s *stage.Stage) string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	from, n, bound := a.worst()
+	s.Note("%s: %d requests in the first second, %d in the second, %d in the third; worst window: from %.2f s, "+
+		"%d requests in %.1f s, at most %.0f are allowed", a.name, a.count(0, 1), a.count(1, 2), a.count(2, 3), from, n,
+		window, bound)
+	if float64(n) <= bound {
+		return ""
+	}
+	return fmt.Sprintf("%d requests in %.1f s came to %s, which was cold and falls over at more than %.0f", n, window,
+		a.name, bound)
 }
 
-// askAtOnce sends openRequests requests on one connection, over the client's link, and reads all that comes. It returns
-// how many of them got no answer at all. One whose answer had begun does not count.
-func askAtOnce(s *stage.Stage, address string) (lost int, err error) {
-	link, err := startLink(s, address)
-	if err != nil {
-		return 0, err
+// loseBranch ends all caches of the branch, starts them again after their time, and announces both. The list tells of
+// the first before the others; without the disruption it tells of all at once.
+func loseBranch(s *stage.Stage, d *stage.Deployment) ([]*arrivals, error) {
+	lost := time.Now()
+	var gone []string
+	for _, c := range d.Caches {
+		c.Kill()
+		gone = append(gone, stage.Entry(c, zone, kind, removed))
 	}
-	client, err := testserver.Connect(link)
-	if err != nil {
-		return 0, err
+	s.Note("all %d caches of the branch die", len(gone))
+	time.Sleep(removedIn)
+	d.Discovery.AnnounceEndpoints(false, gone...)
+	s.Note("the list says so")
+	time.Sleep(time.Until(lost.Add(backIn)))
+	started := time.Now()
+	var back []*arrivals
+	var entries []string
+	for _, c := range d.Caches {
+		cold := &arrivals{name: c.Name, held: map[string]bool{}, started: started}
+		if _, err := stage.StartCacheAt(c.Name, c.Address(), cold.answer); err != nil {
+			return nil, err
+		}
+		back = append(back, cold)
+		entries = append(entries, testserver.EndpointJSON(c.Name, c.Address(), zone, kind, up, started.UnixMilli()))
 	}
-	defer client.Close()
-	first, kb := "0", float64(usualKB)
+	s.Note("all are back, cold and empty")
 	if s.Trouble {
-		first, kb = "f", usualKB*oversizedBytes/usualBytes
-	}
-	var whole, late atomic.Int64
-	var wait sync.WaitGroup
-	sent := time.Now()
-	for i := range uint64(openRequests) {
-		trace := 1<<40 + i
-		_, answers := client.Send(class, stage.Fields(trace, fmt.Sprintf("%s%015x", first, i), 0, timeout, kb), nil)
-		wait.Go(func() {
-			select {
-			case a := <-answers:
-				whole.Add(1)
-				s.Note("request %016x: answered %q with %d bytes after %v", trace, a.Error, len(a.Body), time.Since(sent))
-			case <-client.Closed():
-				s.Note("request %016x: the connection was closed after %v, no answer", trace, time.Since(sent))
-			case <-time.After(timeout + grace):
-				late.Add(1)
-				s.Note("request %016x: no answer after %v", trace, time.Since(sent))
-			}
-		})
+		time.Sleep(time.Until(started.Add(firstToldIn)))
+		d.Discovery.AnnounceEndpoints(false, entries[0])
+		s.Note("the list says that %s is up", back[0].name)
+		entries = entries[1:]
 	}
-	wait.Wait()
-	lost = openRequests - int(whole.Load()+late.Load())
-	s.Note("%d answered, %d late, %d lost, one of which may have begun", whole.Load(), late.Load(), lost)
-	return max(lost-1, 0), nil
+	time.Sleep(time.Until(started.Add(restToldIn)))
+	d.Discovery.AnnounceEndpoints(false, entries...)
+	s.Note("the list says that %d more are up", len(entries))
+	return back, nil
 }
 
-// startLink starts the link of a client to the router and returns the address at which the client connects. What the
-// router sends passes at linkRate.
-func startLink(s *stage.Stage, router string) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// request sends the requests of one client at a steady rate.
+func request(address string, number int, end time.Time, served, refused *atomic.Int64) {
+	client, err := testserver.Connect(address)
 	if err != nil {
-		return "", err
+		return
 	}
-	go func() {
-		client, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = client.Close() }()
-		far, err := net.Dial("tcp", router)
-		if err != nil {
-			return
-		}
-		defer func() { _ = far.Close() }()
-		go func() { _, _ = io.Copy(far, client) }()
-		passed, err := pass(client, far)
-		s.Note("link: %d bytes passed, then: %v", passed, err)
-	}()
-	return l.Addr().String(), nil
-}
-
-// pass passes bytes at linkRate until one side ends.
-func pass(to io.Writer, from io.Reader) (passed int, err error) {
-	buffer := make([]byte, linkPiece)
-	free := time.Now() // when the link has sent all that it was given
-	for {
-		n, err := from.Read(buffer)
-		if err != nil {
-			return passed, err
-		}
-		if now := time.Now(); free.Before(now) {
-			free = now
-		}
-		free = free.Add(time.Duration(float64(n) / linkRate * float64(time.Second)))
-		time.Sleep(time.Until(free))
-		if _, err := to.Write(buffer[:n]); err != nil {
-			return passed, err
+	defer client.Close()
+	time.Sleep(requestInterval * time.Duration(number) / clients)
+	random := rand.New(rand.NewPCG(seed, uint64(number)))
+	ticker := time.NewTicker(requestInterval)
+	defer ticker.Stop()
+	for n := uint64(number); time.Now().Before(end); n += clients {
+		object := fmt.Sprintf(objectFormat, n%commonObjects)
+		if random.IntN(missOf) < misses {
+			object = fmt.Sprintf(rareFormat, n)
 		}
-		passed += n
+		_, answers := client.Send(className, stage.Fields(n+1, object, 0, timeout, sizeKB), nil)
+		go func() {
+			if a := <-answers; a.Error == "" {
+				served.Add(1)
+			} else {
+				refused.Add(1)
+			}
+		}()
+		<-ticker.C
 	}
 }
