--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -31,6 +32,7 @@
 	Root    string // root of the repository
 	Dir     string // temporary folder
 
+	ending sync.Mutex
 	mu     sync.Mutex
 	record *bufio.Writer
 	file   *os.File
@@ -46,7 +48,17 @@
 		fmt.Fprintln(os.Stderr, "the case couldn't run:", err)
 		os.Exit(couldNot)
 	}
-	rule, err := play(s)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		s.end("", fmt.Errorf("ended by a signal: %v", <-signals))
+	}()
+	s.end(play(s))
+}
+
+// end ends all routers, completes the record and ends the process.
+func (s *Stage) end(rule string, err error) {
+	s.ending.Lock() // never unlocked: only the first call ends the process
 	for _, r := range s.router {
 		r.kill()
 	}
