Front end: a backlog is searched for cancellations once, not once for each request

Cause: cancellationPending parsed all unread messages for each request of a backlog, n * n steps under the lock; the loop was late by that, which counted as another stall and began the backlogs anew. Change: a search continues where the last one ended, by offsets in the connection's bytes.

--- a/internal/frontend/backlog.go
+++ b/internal/frontend/backlog.go
@@ -102,6 +102,7 @@
 // beginBacklog begins a backlog if the connection has unread bytes, or if its end is unread. It extends a backlog that
 // has not ended. The stall lasted from since until now.
 func (c *connection) beginBacklog(since, now time.Time) {
+	c.search = cancellationSearch{} // what has arrived during the stall was not searched
 	unread, full, ended := c.conn.PeekUnread(c.server.ensurePeekBuffer(), c.unhandled)
 	if unread == 0 && !ended && !c.backlog.active() {
 		return
--- a/internal/frontend/cancellation.go
+++ b/internal/frontend/cancellation.go
@@ -1,8 +1,12 @@
 package frontend
 
-import "threadrun/internal/msgpack"
+import (
+	"time"
 
-const maxPeek = 1 << 16 // maximum number of unread bytes that are searched for a cancellation
+	"threadrun/internal/msgpack"
+)
+
+const maxPeek = 1 << 16 // maximum number of bytes that are peeked at for a search
 
 // State implements Client. Outside of a backlog it does not search the unread bytes, which are about to be read.
 func (c *connection) State(number RequestNumber) ClientState {
@@ -17,50 +21,113 @@
 	return ClientWaits
 }
 
+// peekInterval is how old the result of a search may be: a cancellation that arrives later is found up to this time
+// after its arrival.
+const peekInterval = 10 * time.Millisecond
+
+// cancellationSearch is what a search of a connection's undecoded bytes has found. A later search continues where it
+// ended, so that each byte is searched once, however many requests are looked up. Offsets count the bytes received on
+// the connection.
+type cancellationSearch struct {
+	searchedAt time.Time
+	end        int64            // offset of the first byte that was not searched
+	canceled   map[uint64]int64 // offset behind the last cancellation found, by the id of the request that it cancels
+	ended      bool             // the end of the connection follows
+}
+
 // cancellationPending reports whether the bytes that are not decoded yet contain the cancellation of a request, or
 // whether the end of the connection follows them.
 func (c *connection) cancellationPending(id uint64) bool {
-	s := c.server
-	n, ended := c.conn.Peek(s.ensurePeekBuffer())
-	if ended {
-		return true
+	now := c.server.engine.Now()
+	search := &c.search
+	if search.end <= c.decodedBytes || now.Sub(search.searchedAt) >= peekInterval {
+		c.searchUndecoded(now)
 	}
-	peeked := c.afterDiscarded(s.peekBuffer[:n])
+	return search.ended || search.canceled[id] > c.decodedBytes
+}
+
+// searchUndecoded searches the undecoded bytes from where the last search ended.
+func (c *connection) searchUndecoded(now time.Time) {
+	s, search := c.server, &c.search
 	buffered := c.received.Bytes()
 	if c.decoding {
 		buffered = c.undecoded
 	}
-	if len(buffered) == 0 {
-		return containsCancellation(peeked, id)
+	undecoded := s.ensureSearchBuffer(len(buffered))
+	size := copy(undecoded, buffered)
+	n, ended := c.conn.Peek(undecoded[size : size+maxPeek])
+	undecoded = c.afterDiscarded(undecoded[:size+n])
+	begin := c.decodedBytes + int64(size+n-len(undecoded))
+	search.searchedAt = now
+	search.ended = ended
+	search.forgetDecoded(c.decodedBytes)
+	if skip := search.end - begin; skip > 0 {
+		undecoded = undecoded[min(skip, int64(len(undecoded))):]
+		begin = search.end
 	}
-	unread := make([]byte, 0, len(buffered)+len(peeked))
-	unread = append(unread, buffered...)
-	unread = append(unread, peeked...)
-	return containsCancellation(unread, id)
+	search.advance(undecoded, begin)
+	s.searchedBytes += search.end - begin
 }
 
-// ensurePeekBuffer returns peekBuffer. It allocates the buffer on first use, which is after the first stall.
-func (s *Server) ensurePeekBuffer() []byte {
-	if s.peekBuffer == nil {
-		s.peekBuffer = make([]byte, maxPeek)
-	}
-	return s.peekBuffer
-}
-
-// containsCancellation reports whether one of the complete messages at the start of b cancels the request with the id.
-func containsCancellation(b []byte, id uint64) bool {
+// advance searches the complete messages at the start of b, which begins at an offset.
+func (search *cancellationSearch) advance(b []byte, offset int64) {
+	search.end = offset
 	for len(b) > 0 {
 		size, err := msgpack.Size(b, maxMessage)
 		if err != nil || size == 0 {
-			return false
+			return
 		}
+		search.end += int64(size)
 		r := msgpack.Read(b[:size])
-		if canceledID, ok := readCancellation(&r); ok && canceledID == id {
-			return true
+		if id, ok := readCancellation(&r); ok {
+			search.add(id)
 		}
 		b = b[size:]
 	}
-	return false
+}
+
+// add records that a cancellation ends where the search has arrived.
+func (search *cancellationSearch) add(id uint64) {
+	if search.canceled == nil {
+		search.canceled = map[uint64]int64{}
+	}
+	search.canceled[id] = search.end
+}
+
+// forgetDecoded removes the cancellations that have been decoded.
+func (search *cancellationSearch) forgetDecoded(decodedBytes int64) {
+	for id, end := range search.canceled {
+		if end <= decodedBytes {
+			delete(search.canceled, id)
+		}
+	}
+}
+
+// bytesDecoded must be called with the size of each message, before the message is handled, and with the size of each
+// part of a message that is discarded. It returns how long ago, at most, the last of these bytes was sent, or 0 if it
+// was not sent during a stall.
+func (c *connection) bytesDecoded(size int, now time.Time) time.Duration {
+	c.decodedBytes += int64(size)
+	unreadFor := c.backlog.bytesDecoded(size, now)
+	if !c.backlog.active() {
+		c.search = cancellationSearch{} // frees its memory
+	}
+	return unreadFor
+}
+
+// ensurePeekBuffer returns a buffer of maxPeek bytes.
+func (s *Server) ensurePeekBuffer() []byte { return s.ensureSearchBuffer(0)[:maxPeek] }
+
+// ensureSearchBuffer returns a buffer for a number of buffered bytes followed by maxPeek unread bytes. It allocates
+// searchBuffer on first use, which is after the first stall, and a larger one for the rest of a large message.
+func (s *Server) ensureSearchBuffer(buffered int) []byte {
+	if buffered > maxPeek {
+		return make([]byte, buffered+maxPeek)
+	}
+	if s.searchBuffer == nil {
+		s.searchBuffer = make([]byte, 2*maxPeek)
+	}
+	return s.searchBuffer
 }
 
 // readCancellation returns the id of the request that a message cancels, or false if the message is not a cancellation.
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -18,6 +18,8 @@
 	received     transport.ReceiveBuffer
 	discarded    *discardedMessage // the message being received, if its bytes are not stored; nil: none
 	backlog      backlog
+	search       cancellationSearch // reset when the backlog ends
+	decodedBytes int64              // number of received bytes that were decoded, or skipped in a discarded message
 	openRequests []openRequest
 	lastNumber   RequestNumber // number that was last assigned to a request
 
@@ -145,7 +147,7 @@
 	}
 	c.sawMessage = true
 	c.undecoded = b[size:]
-	c.unreadFor = c.backlog.bytesDecoded(size, c.lastActive)
+	c.unreadFor = c.bytesDecoded(size, c.lastActive)
 	err = c.handleMessage(b[:size])
 	c.undecoded = nil
 	return size, err
--- a/internal/frontend/discard.go
+++ b/internal/frontend/discard.go
@@ -69,7 +69,7 @@
 	if _, _, err := message.rest.Skip(stored); err != nil {
 		return err
 	}
-	c.backlog.bytesDecoded(len(stored), c.server.engine.Now())
+	c.bytesDecoded(len(stored), c.server.engine.Now())
 	c.discarded = message
 	return nil
 }
@@ -84,7 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.backlog.bytesDecoded(n, c.lastActive)
+	c.bytesDecoded(n, c.lastActive)
 	if !complete {
 		return nil, nil
 	}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -45,10 +45,12 @@
 	lastLogged time.Time // when logClosed last logged a connection
 	suppressed int       // number of connections that logClosed has not logged since
 
-	request    Request // scratch space: one request is read at a time
-	head       []byte  // scratch space for the start of an answer
-	tail       []byte  // scratch space for the end of an answer
-	peekBuffer []byte  // scratch space for received bytes that are searched before they are read; nil: not allocated
+	searchedBytes int64 // number of undecoded bytes that were searched for cancellations
+
+	request      Request // scratch space: one request is read at a time
+	head         []byte  // scratch space for the start of an answer
+	tail         []byte  // scratch space for the end of an answer
+	searchBuffer []byte  // scratch space for bytes that are searched before they are decoded; nil: not allocated
 }
 
 // NewServer returns a Server. The caller must pass Accept to engine.Listen, and call Tick regularly.
@@ -100,6 +102,7 @@
 		"clients":      len(s.connections),
 		"with_unread":  withUnread,
 		"buffers_full": buffersFull,
+		"searched_kb":  s.searchedBytes >> 10,
 	}).Warn("the process did not run for some time")
 }
 
