Service: at most three consecutive late turns hold back the timers

Cause: each turn of the loop that is 25 ms late counts as a stall and holds back all timers, without a bound. Change: at most three consecutive turns hold them back. Measured: TestTimersFireWhileEveryTurnIsLate failed before (six late turns, no timer fired) and passes.

--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -24,7 +24,7 @@
 	p.engine.Do(func() {
 		p.DetectStall()
 		p.lastTurnDelay = p.loopDelay()
-		if !p.inStallGracePeriod() {
+		if !p.holdsBackTimers() {
 			p.fireTimers()
 		}
 	})
@@ -35,11 +35,11 @@
 	return wait
 }
 
-// tickIfDue ticks all components if tickInterval has passed since the last tick, but not during the grace period
-// after a stall.
+// tickIfDue ticks all components if tickInterval has passed since the last tick, but not in a turn that holds back the
+// timers.
 func (p *proxy) tickIfDue() {
 	now := p.runtime.Now()
-	if now.Sub(p.lastTick) < tickInterval || p.inStallGracePeriod() {
+	if now.Sub(p.lastTick) < tickInterval || p.holdsBackTimers() {
 		return
 	}
 	p.lastTick = now
@@ -57,6 +57,7 @@
 // of the grace period after a stall. It returns the time until then.
 func (p *proxy) scheduleTurn() time.Duration {
 	p.DetectStall() // the process may have stalled during this turn
+	p.countTurnHeldBack()
 	next := p.clockNow() + clock.FromDuration(tickInterval)
 	if len(p.timers) > 0 {
 		next = min(next, p.timers[0].at)
--- a/internal/service/proxy.go
+++ b/internal/service/proxy.go
@@ -60,6 +60,7 @@
 	lastTurnEndedAt routing.Micros // when the last turn ended
 	lastTurnDelay   routing.Micros // how late the last turn began; 0 if it counted as a stall
 	stallNoticedAt  routing.Micros // when the last stall was noticed, just after its end; 0: never
+	turnsHeldBack   int            // number of consecutive turns that ended in a grace period
 }
 
 // The interfaces that the proxy implements.
--- a/internal/service/stall.go
+++ b/internal/service/stall.go
@@ -9,6 +9,10 @@
 	// stallGracePeriod is the time after a stall during which nothing times out, so that bytes that arrived during
 	// the stall are read first.
 	stallGracePeriod routing.Micros = 5_000
+
+	// maxTurnsHeldBack is the number of consecutive turns that may hold back the timers. A loop that is late in more
+	// turns than that is slowed down by load: bytes are read between its turns, and requests wait for their answers.
+	maxTurnsHeldBack = 3
 )
 
 // loopDelay returns how late the timer loop is. Received bytes may have been unread for that time. Time before the
@@ -40,6 +44,21 @@
 	return p.stallNoticedAt > 0 && p.clockNow() < p.stallNoticedAt+stallGracePeriod
 }
 
+// holdsBackTimers reports whether the timers must not fire in this turn, so that bytes that arrived during a stall are
+// read first.
+func (p *proxy) holdsBackTimers() bool {
+	return p.inStallGracePeriod() && p.turnsHeldBack < maxTurnsHeldBack
+}
+
+// countTurnHeldBack counts, at the end of each turn, the consecutive turns that ended in a grace period.
+func (p *proxy) countTurnHeldBack() {
+	if p.holdsBackTimers() {
+		p.turnsHeldBack++
+		return
+	}
+	p.turnsHeldBack = 0
+}
+
 // maxUnreadTime returns for how long at most a request was unread. frontendMax is the front end's maximum, which
 // counts only stalls; shorter delays of the loop are counted here.
 func (p *proxy) maxUnreadTime(frontendMax routing.Micros) routing.Micros {
--- a/internal/service/timers_test.go
+++ b/internal/service/timers_test.go
@@ -41,3 +41,28 @@
 		}
 	})
 }
+
+// Guards against timers that are held back for as long as the loop is late: a router under so much load that each turn
+// counts as a stall would give no final answer to requests whose caches hang.
+func TestTimersFireWhileEveryTurnIsLate(t *testing.T) {
+	b := openTestbed(t, nil)
+	defer b.close()
+	p := b.server.proxy
+	p.loop.Stop(testTimeout) // the test makes the turns
+	due := func() (due bool) {
+		b.server.engine.Do(func() { due = len(p.timers) > 0 && p.timers[0].at == 1 })
+		return due
+	}
+	b.server.engine.Do(func() { p.timers.Push(timer{at: 1, kind: attemptDeadline}) })
+	const turns = 2 * maxTurnsHeldBack
+	for range turns {
+		b.server.engine.Do(func() {
+			p.nextTurnAt = p.clockNow() - 2*stallThreshold
+			p.stallNoticedAt = p.nextTurnAt
+		})
+		p.turn()
+	}
+	if due() {
+		t.Errorf("a timer that is due has not fired in %d turns that were late", turns)
+	}
+}
