Service: timers of attempts that have ended are removed

Change: timers of ended attempts are removed when the heap has twice as many as were needed at the last look.

--- a/internal/minheap/minheap.go
+++ b/internal/minheap/minheap.go
@@ -37,13 +37,28 @@
 	var zero T
 	elements[last] = zero // so that memory that the element refers to can be freed
 	*h = elements[:last]
-	h.siftDown()
+	h.siftDown(0)
 	return least
 }
 
-// siftDown restores the order of the heap after its first element has changed.
-func (h Heap[T, P]) siftDown() {
-	for parent := 0; ; {
+// Filter removes the elements for which keep returns false. It takes time proportional to the number of elements.
+func (h *Heap[T, P]) Filter(keep func(P) bool) {
+	kept := (*h)[:0]
+	for i := range *h {
+		if keep(&(*h)[i]) {
+			kept = append(kept, (*h)[i])
+		}
+	}
+	clear((*h)[len(kept):]) // so that memory that the elements refer to can be freed
+	*h = kept
+	for parent := len(kept)/2 - 1; parent >= 0; parent-- {
+		kept.siftDown(parent)
+	}
+}
+
+// siftDown restores the order below an element that may be greater than its children.
+func (h Heap[T, P]) siftDown(parent int) {
+	for {
 		least := h.leastOf(parent)
 		if least == parent {
 			return
--- a/internal/minheap/minheap_test.go
+++ b/internal/minheap/minheap_test.go
@@ -53,3 +53,28 @@
 		t.Fatalf("%v allocations per push, want 0", allocations)
 	}
 }
+
+// Filter must keep exactly the elements that it is asked to keep, and Pop must return them in order.
+func TestFilter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var heap Heap[number, *number]
+		var want []number
+		divisor := rapid.IntRange(1, 5).Draw(t, "divisor")
+		for _, value := range rapid.SliceOf(rapid.IntRange(0, 50)).Draw(t, "values") {
+			heap.Push(number(value))
+			if value%divisor == 0 {
+				want = append(want, number(value))
+			}
+		}
+		heap.Filter(func(n *number) bool { return int(*n)%divisor == 0 })
+		slices.Sort(want)
+		for i, least := range want {
+			if got := heap.Pop(); got != least {
+				t.Fatalf("popped %d as element %d, want %d", got, i, least)
+			}
+		}
+		if len(heap) != 0 {
+			t.Fatalf("%d elements left", len(heap))
+		}
+	})
+}
--- a/internal/service/loop.go
+++ b/internal/service/loop.go
@@ -59,8 +59,8 @@
 	p.DetectStall() // the process may have stalled during this turn
 	p.countTurnHeldBack()
 	next := p.clockNow() + clock.FromDuration(tickInterval)
-	if len(p.timers) > 0 {
-		next = min(next, p.timers[0].at)
+	if len(p.timers.Heap) > 0 {
+		next = min(next, p.timers.Heap[0].at)
 	}
 	if p.inStallGracePeriod() {
 		next = p.stallNoticedAt + stallGracePeriod
@@ -75,7 +75,7 @@
 func (p *proxy) fireTimers() {
 	p.setRouterTime()
 	routerTimerDue := false
-	for len(p.timers) > 0 && p.timers[0].at <= p.now {
+	for len(p.timers.Heap) > 0 && p.timers.Heap[0].at <= p.now {
 		t := p.timers.Pop()
 		switch t.kind {
 		case attemptDeadline:
@@ -93,7 +93,7 @@
 
 // setTimer adds a timer, and wakes the loop if the timer is due before the next turn.
 func (p *proxy) setTimer(t timer) {
-	p.timers.Push(t)
+	p.timers.push(t, p.needsTimer)
 	if t.at >= p.nextTurnAt {
 		return
 	}
--- a/internal/service/proxy.go
+++ b/internal/service/proxy.go
@@ -53,7 +53,7 @@
 	endpointUpdate []routing.Endpoint            // the last update, as passed to the Router
 
 	// The timer loop: see loop.go.
-	timers          timerHeap
+	timers          timerQueue
 	loop            transport.Loop // nil: run has not been called
 	lastTick        time.Time
 	nextTurnAt      routing.Micros // when the next turn is due; 0: not scheduled yet
--- a/internal/service/timers_test.go
+++ b/internal/service/timers_test.go
@@ -2,21 +2,23 @@
 
 import (
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
+	"threadrun/internal/testserver"
 	"threadrun/routing"
 )
 
 // Timers must fire in the order of their times.
 func TestTimers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var h timerHeap
+		var q timerQueue
 		for _, at := range rapid.SliceOf(rapid.IntRange(0, 50)).Draw(t, "alarms") {
-			h.Push(timer{at: routing.Micros(at)})
+			q.Push(timer{at: routing.Micros(at)})
 		}
-		for last := routing.Micros(-1); len(h) > 0; {
-			fired := h.Pop()
+		for last := routing.Micros(-1); len(q.Heap) > 0; {
+			fired := q.Pop()
 			if fired.at < last {
 				t.Fatalf("the timer due at %d us fired after the one due at %d us", fired.at, last)
 			}
@@ -50,7 +52,7 @@
 	p := b.server.proxy
 	p.loop.Stop(testTimeout) // the test makes the turns
 	due := func() (due bool) {
-		b.server.engine.Do(func() { due = len(p.timers) > 0 && p.timers[0].at == 1 })
+		b.server.engine.Do(func() { due = len(p.timers.Heap) > 0 && p.timers.Heap[0].at == 1 })
 		return due
 	}
 	b.server.engine.Do(func() { p.timers.Push(timer{at: 1, kind: attemptDeadline}) })
@@ -66,3 +68,25 @@
 		t.Errorf("a timer that is due has not fired in %d turns that were late", turns)
 	}
 }
+
+// Guards against timers that outlive their attempts: clients that state a timeout of days would make the memory grow
+// with each request, although each is answered at once.
+func TestTimersOfEndedAttemptsAreRemoved(t *testing.T) {
+	b := openTestbed(t, answerEmpty)
+	defer b.close()
+	const batch = 30
+	for range 3 * minTimersToPrune / batch {
+		var answers []<-chan *testserver.Answer
+		for range batch {
+			answers = append(answers, b.send("page", object, 999_999_999*time.Millisecond, nil))
+		}
+		for _, answer := range answers {
+			b.wait(answer)
+		}
+	}
+	b.server.engine.Do(func() {
+		if n := len(b.server.proxy.timers.Heap); n > minTimersToPrune {
+			t.Errorf("%d timers are left, and no request is open", n)
+		}
+	})
+}
