--- a/internal/deployment/names.go
+++ b/internal/deployment/names.go
@@ -19,6 +19,7 @@
 	OwnZoneName       string
 	StreamKBPerSecond float64        // rate at which one answer is sent; 0: unknown
 	MaxTimeout        routing.Micros // longest timeout of a class's requests; 0: unknown
+	classTimeouts     []routing.Micros
 	classIDs          map[string]routing.ClassID
 	tenantIDs         map[string]routing.TenantID
 	parentKind        string // kinds of endpoints as named in the endpoint list; empty: none
@@ -31,6 +32,21 @@
 	return id, ok
 }
 
+// unstatedTimeout is the longest timeout of a request if the settings state none for any class.
+const unstatedTimeout routing.Micros = 60_000_000
+
+// LongestTimeout returns the longest timeout that a request of a class has. If the settings state none for the class,
+// it is that of any class, or unstatedTimeout.
+func (n *Names) LongestTimeout(class routing.ClassID) routing.Micros {
+	switch {
+	case n.classTimeouts[class] > 0:
+		return n.classTimeouts[class]
+	case n.MaxTimeout > 0:
+		return n.MaxTimeout
+	}
+	return unstatedTimeout
+}
+
 // Tenant returns the id of the tenant with a name, or routing.NoTenant if the settings do not name it.
 func (n *Names) Tenant(name []byte) routing.TenantID {
 	id, ok := n.tenantIDs[string(name)]
@@ -81,7 +97,9 @@
 			r.fail(fmt.Sprintf("lanes[%d].name", i),
 				fmt.Sprintf("is %q, must not be empty or contain spaces, commas or '='", name))
 		}
-		n.MaxTimeout = max(n.MaxTimeout, micros(class.GetFloat64("deadline")))
+		timeout := micros(class.GetFloat64("deadline"))
+		n.classTimeouts = append(n.classTimeouts, timeout)
+		n.MaxTimeout = max(n.MaxTimeout, timeout)
 		n.classIDs[name] = routing.ClassID(i)
 		n.ClassNames = append(n.ClassNames, name)
 	}
--- a/internal/service/requests.go
+++ b/internal/service/requests.go
@@ -42,13 +42,21 @@
 	p.copyBytes(&p.arriving)
 	p.setRouterTime()
 	r := routingRequest(params)
-	if !r.Background { // a client's timeout began before its request was read
-		r.Remaining = max(r.Remaining-p.maxUnreadTime(params.UnreadFor), 0)
+	if !r.Background {
+		r.Remaining = p.remainingTime(params)
 	}
 	p.router.RequestArrived(r)
 	return true
 }
 
+// remainingTime returns how long a client waits at most from now on. Its timeout began before its request was read. A
+// timeout longer than those of its class is not believed: a cache that does not answer would hold the attempt, and the
+// capacity that it takes, for as long as any client likes, even after it has left.
+func (p *proxy) remainingTime(params *frontend.Request) routing.Micros {
+	timeout := min(params.Timeout, p.names.LongestTimeout(params.Class))
+	return max(timeout-p.maxUnreadTime(params.UnreadFor), 0)
+}
+
 // copyBytes copies the bytes that the slices in the request's parameters refer to into r.buffer: the originals are
 // valid only during the front end's call.
 func (p *proxy) copyBytes(r *request) {
--- a/internal/service/requests_test.go
+++ b/internal/service/requests_test.go
@@ -323,3 +323,17 @@
 		}
 	})
 }
+
+// Guards against a timeout out of range that is believed: attempts of clients that state to wait for days would hold
+// the caches' capacity for days, even after the clients have left, and every later request would be rejected.
+func TestTimeoutIsBoundedByTheClass(t *testing.T) {
+	const classTimeout = 2000 // milliseconds; in testserver.Settings
+	b := openTestbed(t, answerEmpty)
+	defer b.close()
+	b.wait(b.send("page", object, 999_999_999*time.Millisecond, nil))
+	for _, g := range b.edgeRequests() {
+		if budget, err := strconv.Atoi(g.Fields["budget"]); err != nil || budget > classTimeout {
+			t.Errorf("a cache got the budget %s, want at most %d", g.Fields["budget"], classTimeout)
+		}
+	}
+}
