Routing: the first cache of a lost zone is not taken for the whole zone

Cause: the least load assumed of a warm cache was the zone's link divided by the weight listed at the moment. Change: it is divided by the greatest weight that the zone's warm caches have had together.

--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -95,7 +95,8 @@
 	ep.fillLatency = old.fillLatency
 }
 
-// indexEndpoints rebuilds the lists of the zone's caches and the parents, and finds the origin.
+// indexEndpoints rebuilds the lists of the zone's caches and the parents, finds the origin, and updates the weights of
+// the zone.
 func (r *Router) indexEndpoints() {
 	r.zoneCaches = r.zoneCaches[:0]
 	r.parents = r.parents[:0]
@@ -114,6 +115,7 @@
 			r.zoneWeight += ep.Weight
 		}
 	}
+	r.recordZoneWeight()
 }
 
 // listedEndpoint returns an endpoint if it is listed, or nil.
--- a/routing/router.go
+++ b/routing/router.go
@@ -34,9 +34,11 @@
 	parents    []EndpointID
 	origin     EndpointID
 	zoneWeight float64 // sum of the weights of the zone's caches
-	ranking    rendezvous.Ranking[EndpointID]
-	nameHash   func(EndpointID) uint64
-	watchLost  bool // the subscription to the endpoint list must be renewed
+	// completeZoneWeight is the greatest weight that the zone's warm caches have had together.
+	completeZoneWeight float64
+	ranking            rendezvous.Ranking[EndpointID]
+	nameHash           func(EndpointID) uint64
+	watchLost          bool // the subscription to the endpoint list must be renewed
 
 	fetchLimit   limit  // fills that may lead to a fetch from the origin
 	linkLimit    limit  // fills that use the zone's link
@@ -104,6 +106,7 @@
 		return
 	}
 	r.scheduleTick()
+	r.recordZoneWeight()
 	r.updateWarmLoad(Edge, r.zoneCaches)
 	r.updateWarmLoad(Parent, r.parents)
 	if r.now%second < tickInterval {
--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -84,14 +84,29 @@
 	return rate, routers
 }
 
-// leastWarmLoad returns the least load that a warm endpoint is assumed to carry. The caches of a zone
-// together, and any one parent, can carry the full load of the zone's link, because the link has less
-// capacity than the endpoints on either side of it.
+// leastWarmLoad returns the least load that a warm endpoint is assumed to carry. The caches of a complete
+// zone together, and any one parent, can carry the full load of the zone's link, because the link has less
+// capacity than the endpoints on either side of it. The caches that are listed now may be a small part of
+// the zone, as when a lost zone returns one cache at a time.
 func (r *Router) leastWarmLoad(ep *endpoint) float64 {
 	if ep.Tier == Parent {
 		return math.Max(minimumWarmLoad, r.linkTransfers())
 	}
-	return math.Max(minimumWarmLoad, r.linkTransfers()*ep.Weight/r.zoneWeight)
+	zoneWeight := math.Max(r.zoneWeight, r.completeZoneWeight)
+	return math.Max(minimumWarmLoad, r.linkTransfers()*ep.Weight/zoneWeight)
+}
+
+// recordZoneWeight raises completeZoneWeight to the weight of the caches that are up and warm. Draining
+// caches and those in slow start do not count: while caches are replaced, the zone would count twice.
+func (r *Router) recordZoneWeight() {
+	warmWeight := 0.0
+	for _, id := range r.zoneCaches {
+		ep := &r.endpoints[id]
+		if ep.State == Up && !r.inSlowStart(ep) {
+			warmWeight += ep.Weight
+		}
+	}
+	r.completeZoneWeight = math.Max(r.completeZoneWeight, warmWeight)
 }
 
 // hasValidToken reports whether a router whose bucket is too small for one request may send one. The
--- a/routing/slowstart_test.go
+++ b/routing/slowstart_test.go
@@ -254,3 +254,36 @@
 		t.Fatalf("an endpoint with three times the weight got %.1f times the load, want 2.5 to 3.5", ratio)
 	}
 }
+
+// Guards against a cold cache that is taken for its whole zone: when a lost zone returns, and the list tells of one
+// cache before the others, that cache must not be assumed to carry the load of all.
+func TestFirstCacheOfALostZoneIsNotTakenForTheZone(t *testing.T) {
+	fake := newFakeExecutor(plainPermissions)
+	r := fake.router
+	r.locality.LinkKBPerSecond = []float64{0, 40_000} // 40 answers at once: 10 for each of the four caches
+	r.classSendTimes[0] = 0.1
+	var removed []Endpoint
+	for _, entry := range testEndpoints()[:4] {
+		entry.State = Removed
+		removed = append(removed, entry)
+	}
+	fake.update(removed...)
+	fake.advance(8 * second)
+	first := testEndpoints()[0]
+	first.Started = r.now
+	fake.update(first)
+	sent := 0.0
+	cache, req := &r.endpoints[0], &request{}
+	for range 1500 { // milliseconds: one overload window
+		r.SetTime(r.now + ms)
+		if r.withinSlowStartBudget(cache, req) {
+			cache.slowStartBudget.Take(r.slowStartCost(req, cache))
+			sent += r.slowStartCost(req, cache)
+		}
+	}
+	// The overload multiple, the ramp's share after the window, a cache's share of the link, and the window.
+	allowed := 2 * (0.2 + 0.8*1.5/16) * 10 * 1.5
+	if sent > allowed || sent == 0 {
+		t.Errorf("the first cache got %.1f s of sending, want more than 0 and at most %.1f s", sent, allowed)
+	}
+}
