Service: an endpoint whose address a later one has taken counts as removed

Cause: the router knows endpoints by id; both entries had a slow-start budget and led to the same process. Change: of two listed endpoints with one address, the one that started earlier is displaced until its entry changes.

--- a/internal/service/background.go
+++ b/internal/service/background.go
@@ -29,7 +29,7 @@
 func (p *proxy) EachEndpoint(f func(id routing.EndpointID, nameHash uint64, tier routing.Tier)) {
 	for i := range p.endpoints {
 		e := &p.endpoints[i]
-		if !e.removed && e.local {
+		if !e.gone() && e.local {
 			f(routing.EndpointID(i), e.nameHash, e.tier)
 		}
 	}
@@ -40,7 +40,7 @@
 func (p *proxy) EndpointByIncarnation(incarnation uint64) routing.EndpointID {
 	for i := range p.endpoints {
 		e := &p.endpoints[i]
-		if !e.removed && e.local && e.incarnation() == incarnation {
+		if !e.gone() && e.local && e.incarnation() == incarnation {
 			return routing.EndpointID(i)
 		}
 	}
--- a/internal/service/endpoints.go
+++ b/internal/service/endpoints.go
@@ -15,9 +15,12 @@
 	startedUnixMillis int64          // start time according to the endpoint list; 0: long ago
 	started           routing.Micros // the same time on the Router's clock; 0: long ago
 	tier              routing.Tier
-	removed           bool // from the endpoint list; the id may be assigned to another endpoint
-	changed           bool // the last update drained, removed or restarted it
-	local             bool // a cache of this zone, a parent or the origin
+	address           string           // as listed
+	entry             routing.Endpoint // as listed, in the Router's representation
+	removed           bool             // from the endpoint list; the id may be assigned to another endpoint
+	displaced         bool             // another endpoint is at its address: see addresses.go
+	changed           bool             // the last update drained, removed, displaced or restarted it
+	local             bool             // a cache of this zone, a parent or the origin
 }
 
 // incarnation returns an identifier of the endpoint since its last start. Records of its copies refer to the
@@ -40,7 +43,7 @@
 		p.updateEndpoint(&list[i])
 	}
 	for id := range p.endpoints {
-		if p.endpoints[id].removed {
+		if p.endpoints[id].gone() {
 			p.pool.Remove(routing.EndpointID(id))
 		}
 	}
@@ -101,10 +104,7 @@
 	e.nameHash = hash.String(listed.Name)
 	e.tier = p.names.Tier(listed.Kind)
 	e.local = e.tier != routing.Edge || zone == p.names.OwnZone
-	if !removed {
-		p.pool.SetAddress(id, listed.Address, restarted)
-	}
-	p.endpointUpdate = append(p.endpointUpdate, routing.Endpoint{
+	e.entry = routing.Endpoint{
 		ID:       id,
 		NameHash: e.nameHash,
 		Tier:     e.tier,
@@ -114,7 +114,27 @@
 		Started:  e.started,
 		State:    endpointStates[listed.State],
 		Replaced: replaced,
-	})
+	}
+	if !removed {
+		e.displaced = e.displaced && !restarted && e.address == listed.Address
+		e.address = listed.Address
+		p.pool.SetAddress(id, listed.Address, restarted)
+	}
+	p.appendUpdate(id)
+	if !e.gone() {
+		p.claimAddress(id)
+	}
+}
+
+// appendUpdate appends an endpoint to p.endpointUpdate. A displaced one counts as removed there.
+func (p *proxy) appendUpdate(id routing.EndpointID) {
+	e := &p.endpoints[id]
+	entry := e.entry
+	if e.displaced {
+		entry.State = routing.Removed
+	}
+	p.endpointUpdate = append(p.endpointUpdate, entry)
+	e.entry.Replaced = false // the Router has to learn that once
 }
 
 // startTime returns when a listed endpoint started, on the Router's clock. 0 means long ago.
@@ -125,7 +145,8 @@
 	return p.fromUnixMillis(listed.StartedUnixMillis)
 }
 
-// hasChanged reports whether the last update drained, removed or restarted an endpoint. id may be NoEndpoint.
+// hasChanged reports whether the last update drained, removed, displaced or restarted an endpoint. id may be
+// NoEndpoint.
 func (p *proxy) hasChanged(id routing.EndpointID) bool {
 	return id != routing.NoEndpoint && p.endpoints[id].changed
 }
@@ -140,6 +161,7 @@
 			continue
 		}
 		delete(p.endpointIDs, e.name)
+		p.releaseAddress(routing.EndpointID(i))
 		*e = endpoint{name: name}
 		p.endpointIDs[name] = routing.EndpointID(i)
 		return routing.EndpointID(i), true
--- a/internal/service/endpoints_test.go
+++ b/internal/service/endpoints_test.go
@@ -107,3 +107,51 @@
 		t.Errorf("the last cache has id %d, want the released id %d", got, busyID)
 	}
 }
+
+// Guards against two entries of the list that lead to one process: if a cache has started at the address of one that
+// has gone and is still listed, that one must not be used, or the new cache would get twice what its slow start
+// permits.
+func TestEarlierEndpointAtAnAddressIsNotUsed(t *testing.T) {
+	b := openTestbed(t, answerEmpty)
+	defer b.close()
+	p := b.server.proxy
+	address := b.caches["edge-1"].Address()
+	started := time.Now().UnixMilli()
+	old := testserver.EndpointJSON("edge-1", address, "branch", "cache", "up", 0)
+	successor := testserver.EndpointJSON("edge-3", address, "branch", "cache", "up", started)
+	elsewhere := testserver.EndpointJSON("edge-1", "127.0.0.1:1", "branch", "cache", "up", 0)
+	later := testserver.EndpointJSON("edge-1", address, "branch", "cache", "up", started+1)
+	others := []string{b.listLine("edge-2", "up"), b.listLine("parent", "up"), b.listLine("origin", "up")}
+	used := func(name string) (used bool) {
+		b.server.engine.Do(func() {
+			id, known := p.endpointIDs[name]
+			p.EachEndpoint(func(other routing.EndpointID, _ uint64, _ routing.Tier) { used = used || known && other == id })
+		})
+		return used
+	}
+	updates := strings.Count(b.logText(), "endpoint list updated")
+	for _, step := range []struct {
+		name       string
+		complete   bool
+		entries    []string
+		old, newer bool // which of the two must be used
+	}{
+		{"the successor is listed", false, []string{successor}, false, true},
+		{"the old one is listed again", false, []string{old}, false, true},
+		{"a complete list has both", true, append([]string{successor, old}, others...), false, true},
+		{"the old one has another address", false, []string{elsewhere}, true, true},
+		{"and its former address again", false, []string{old}, false, true},
+		{"it has started at that address later", false, []string{later}, true, false},
+		{"the successor is removed", false, []string{strings.Replace(successor, `"up"`, `"removed"`, 1)}, true, false},
+	} {
+		b.discovery.AnnounceEndpoints(step.complete, step.entries...)
+		updates++
+		b.until("the endpoint list is updated", func() bool {
+			return strings.Count(b.logText(), "endpoint list updated") == updates
+		})
+		if used("edge-1") != step.old || used("edge-3") != step.newer {
+			t.Errorf("%s: the old one is used: %v, the successor: %v; want %v and %v", step.name, used("edge-1"),
+				used("edge-3"), step.old, step.newer)
+		}
+	}
+}
--- a/internal/service/proxy.go
+++ b/internal/service/proxy.go
@@ -50,6 +50,7 @@
 	// Endpoints: see endpoints.go.
 	endpointIDs    map[string]routing.EndpointID // by name
 	endpoints      []endpoint                    // indexed by id
+	addressHolders map[string]routing.EndpointID // the endpoint at each address
 	endpointUpdate []routing.Endpoint            // the last update, as passed to the Router
 
 	// The timer loop: see loop.go.
@@ -76,14 +77,15 @@
 func newProxy(engine *transport.Engine, log *logrus.Logger) *proxy {
 	runtime := engine.Runtime()
 	p := &proxy{
-		engine:        engine,
-		runtime:       runtime,
-		log:           log,
-		startedAt:     runtime.Now(),
-		startedAtWall: runtime.WallTime(),
-		lastTick:      runtime.Now(),
-		endpointIDs:   map[string]routing.EndpointID{},
-		openTraceIDs:  map[frontend.HexID]struct{}{},
+		engine:         engine,
+		runtime:        runtime,
+		log:            log,
+		startedAt:      runtime.Now(),
+		startedAtWall:  runtime.WallTime(),
+		lastTick:       runtime.Now(),
+		endpointIDs:    map[string]routing.EndpointID{},
+		addressHolders: map[string]routing.EndpointID{},
+		openTraceIDs:   map[frontend.HexID]struct{}{},
 	}
 	engine.AfterCallback = p.deliverResults
 	return p
