Transport: one client that sends at full speed does not keep others unread

Cause: the edge-triggered poller read a connection until a read returned less than 64 KB, before it read any other. Change: an accepted connection is read once; one that has more is passed to a catch-up reader, which takes turns.

--- a/internal/transport/engine_test.go
+++ b/internal/transport/engine_test.go
@@ -42,11 +42,15 @@
 
 func closeQuietly(c io.Closer) { _ = c.Close() }
 
-func newEngine(t testing.TB) *Engine {
-	t.Helper()
+func quietLogger() *logrus.Logger {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	e, err := New(log, 256)
+	return log
+}
+
+func newEngine(t testing.TB) *Engine {
+	t.Helper()
+	e, err := New(quietLogger(), 256)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/kernel.go
+++ b/internal/transport/kernel.go
@@ -15,7 +15,6 @@
 
 const (
 	sendBufferSize   = 1 << 18                // size in bytes of a dialed connection's send buffer; holds a whole request
-	readBufferSize   = 1 << 16                // maximum bytes that the poller reads at once
 	minDescriptors   = 1024                   // the poller's table has room for at least this many descriptors
 	acceptRetryPause = 5 * time.Millisecond   // between a failed accept and the next
 	shutdownTimeout  = 200 * time.Millisecond // limits the wait for the poller to stop
@@ -24,23 +23,28 @@
 // kernel is the Runtime of the service. It uses the system's sockets, with one poller for all stream connections,
 // and the system's clock.
 type kernel struct {
-	engine      *Engine
-	poller      *nbio.Engine
-	handoff     handoff
-	readBuffer  []byte          // the poller reads into it
-	dialContext context.Context // parent of the contexts of the connects in progress
-	cancelDials func()
+	engine         *Engine
+	poller         *nbio.Engine
+	dialedReader   reader // used by the poller
+	acceptedReader reader // used by the poller
+	catchUpReader  reader // used by readBehind
+	catchUp        catchUpQueue
+	dialContext    context.Context // parent of the contexts of the connects in progress
+	cancelDials    func()
 }
 
 func newKernel(descriptors int) *kernel {
 	logging.SetLevel(logging.LevelNone)
 	nbio.MaxOpenFiles = max(descriptors, minDescriptors) * 2 // size of the poller's table, indexed by descriptor
 	config := nbio.Config{
-		NPoller:        1,
-		ReadBufferSize: readBufferSize,
-		EpollMod:       nbio.EPOLLET, // with level triggering, the poller busy-loops on a connection once it is writable
+		NPoller:  1,
+		EpollMod: nbio.EPOLLET, // with level triggering, the poller busy-loops on a connection once it is writable
 	}
-	k := &kernel{poller: nbio.NewEngine(config), readBuffer: make([]byte, readBufferSize)}
+	k := &kernel{poller: nbio.NewEngine(config)}
+	k.dialedReader = newReader(k, dialedReadSize)
+	k.acceptedReader = newReader(k, acceptedReadSize)
+	k.catchUpReader = newReader(k, acceptedReadSize)
+	k.catchUp.init()
 	k.dialContext, k.cancelDials = context.WithCancel(context.Background())
 	return k
 }
@@ -49,44 +53,40 @@
 // and random bytes, but no connections.
 func SystemRuntime() Runtime { return newKernel(0) }
 
-// start sets the callbacks of the poller and starts it. The data and close callbacks acquire the engine's lock
-// before they look up the Conn in the poller's session: attach, which runs under that lock, adds a connection to
-// the poller before it sets the session.
+// start sets the callbacks of the poller, and starts it and the catch-up reader. The callbacks look up the Conn in the
+// poller's session, which attach sets before it adds the connection to the poller.
 func (k *kernel) start(e *Engine) error {
 	k.engine = e
-	k.poller.OnData(k.handleData)
+	k.poller.OnRead(k.handleReadable)
 	k.poller.OnClose(k.handleClosed)
-	k.poller.OnReadBufferAlloc(func(conn *nbio.Conn) *[]byte {
-		k.handoff.set(conn, nil, nil)
-		return &k.readBuffer
-	})
-	k.poller.OnReadBufferFree(func(*nbio.Conn, *[]byte) { k.handoff.set(nil, nil, nil) })
 	k.poller.OnWrittenSize(func(conn *nbio.Conn, _ []byte, n int) {
-		if c, ok := conn.Session().(*Conn); ok {
+		if c := connOf(conn); c != nil {
 			c.HandleWritten(n)
 		}
 	})
-	return k.poller.Start()
+	if err := k.poller.Start(); err != nil {
+		return err
+	}
+	go k.readBehind()
+	return nil
 }
 
-// handleData passes bytes that the poller has read to the engine. Until it holds the engine's lock, the bytes are
-// recorded in the handoff.
-func (k *kernel) handleData(conn *nbio.Conn, b []byte) {
-	k.handoff.set(nil, conn, b)
+// handleData passes bytes that were read to the engine. Until it holds the engine's lock, the bytes are recorded in the
+// reader's handoff.
+func (k *kernel) handleData(h *handoff, conn *nbio.Conn, b []byte) {
+	h.set(nil, conn, b)
 	k.engine.mu.Lock()
-	k.handoff.set(nil, nil, nil)
-	c, _ := conn.Session().(*Conn)
-	k.engine.dispatchData(c, b)
+	h.set(nil, nil, nil)
+	k.engine.dispatchData(connOf(conn), b)
 }
 
 // handleClosed reports the end of a connection to the engine. A nil error of the poller is reported as io.EOF.
 func (k *kernel) handleClosed(conn *nbio.Conn, err error) {
 	k.engine.mu.Lock()
-	c, _ := conn.Session().(*Conn)
 	if err == nil {
 		err = io.EOF
 	}
-	k.engine.dispatchClosed(c, err)
+	k.engine.dispatchClosed(connOf(conn), err)
 }
 
 // Now returns the system's time with a monotonic reading.
@@ -102,6 +102,7 @@
 // wait for a connection that was just accepted.
 func (k *kernel) Stop() {
 	k.cancelDials()
+	k.catchUp.stop()
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	_ = k.poller.Shutdown(ctx)
@@ -170,15 +171,38 @@
 	}
 }
 
-// attach adds a connection to the poller and sets its session to c. It must be called under the engine's lock.
+// attach sets a connection's session to c and adds it to the poller. It must be called under the engine's lock.
 func (k *kernel) attach(raw net.Conn, c *Conn) (Socket, error) {
-	conn, err := k.poller.AddConn(raw)
+	conn, err := nbio.NBConn(raw)
 	if err != nil {
 		return nil, err
 	}
-	conn.SetSession(c)
-	if dialed := c.onClosed == nil; dialed {
+	dialed := c.onClosed == nil
+	if dialed {
+		conn.SetSession((*dialedConn)(c))
+	} else {
+		conn.SetSession(c)
+	}
+	if _, err := k.poller.AddConn(conn); err != nil {
+		return nil, err
+	}
+	if dialed {
 		_ = conn.SetWriteBuffer(sendBufferSize)
 	}
 	return kernelSocket{conn, k}, nil
 }
+
+// dialedConn is the type of the poller's session of a dialed connection. That of an accepted one is Conn. So the poller
+// can tell them apart without reading the Conn, which the engine's lock guards.
+type dialedConn Conn
+
+// connOf returns the Conn of a connection of the poller, or nil if it has none.
+func connOf(conn *nbio.Conn) *Conn {
+	switch c := conn.Session().(type) {
+	case *Conn:
+		return c
+	case *dialedConn:
+		return (*Conn)(c)
+	}
+	return nil
+}
--- a/internal/transport/kernel_socket.go
+++ b/internal/transport/kernel_socket.go
@@ -32,10 +32,10 @@
 // String returns the peer's address.
 func (s kernelSocket) String() string { return fmt.Sprint(s.conn.RemoteAddr()) }
 
-// Peek copies the bytes that the poller has read but not passed to the engine, followed by those that the kernel
-// still holds.
+// Peek copies the bytes that have been read but not passed to the engine, followed by those that the kernel still
+// holds.
 func (s kernelSocket) Peek(b []byte) (n int, eof bool) {
-	read := s.kernel.handoff.peek(s.conn, b)
+	read := s.kernel.peekRead(s.conn, b)
 	if read == len(b) {
 		return read, false
 	}
@@ -94,18 +94,29 @@
 	return parts
 }
 
+// peekRead copies the bytes of a connection that have been read but not passed to the engine. At most one reader has
+// such bytes.
+func (k *kernel) peekRead(conn *nbio.Conn, b []byte) (n int) {
+	for _, r := range [...]*reader{&k.dialedReader, &k.acceptedReader, &k.catchUpReader} {
+		if n = r.handoff.peek(conn, b); n > 0 {
+			break
+		}
+	}
+	return n
+}
+
 const (
 	handoffPollInterval = 20 * time.Microsecond
-	// maxHandoffPolls limits the wait in handoff.peek to about 50 ms. The poller does nothing between reading bytes
-	// and recording them, so it takes longer than a moment only if its thread is not scheduled.
+	// maxHandoffPolls limits the wait in handoff.peek to about 50 ms. A reader does nothing between reading bytes and
+	// recording them, so it takes longer than a moment only if its thread is not scheduled.
 	maxHandoffPolls = 2500
 )
 
-// handoff records the bytes that the poller has read but not passed to the engine, because another callback holds
-// the engine's lock. That callback can peek at the bytes here. The fields are guarded by mu.
+// handoff records the bytes that a reader has read but not passed to the engine, because another callback holds the
+// engine's lock. That callback can peek at the bytes here. The fields are guarded by mu.
 type handoff struct {
 	mu        sync.Mutex
-	reading   *nbio.Conn // the poller is about to read from this connection
+	reading   *nbio.Conn // the reader is about to read from this connection
 	readFrom  *nbio.Conn // unhandled was read from this connection
 	unhandled []byte     // bytes that were read but not passed to the engine
 }
@@ -118,7 +129,7 @@
 	h.unhandled = unhandled
 }
 
-// peek copies the recorded bytes of a connection to b, and returns their number. It waits while the poller may
+// peek copies the recorded bytes of a connection to b, and returns their number. It waits while the reader may
 // have read bytes from the connection but not recorded them yet: they are then neither here nor in the kernel.
 func (h *handoff) peek(from *nbio.Conn, b []byte) (n int) {
 	for range maxHandoffPolls {
