Front end: answers to requests that are read together are sent together

Change: while a connection's bytes are decoded, answers on it are gathered, and sent in pieces of 32 KB at most.

--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -112,8 +112,10 @@
 	c.sawMessage = false
 	c.clientHalfClosed = c.conn.AtEOF()
 	c.decoding = true
+	c.server.gathered = c.server.gathered[:0]
 	err := c.decodeMessages(b)
 	c.decoding = false
+	c.sendGathered()
 	if err != nil {
 		return err
 	}
--- a/internal/frontend/helpers_test.go
+++ b/internal/frontend/helpers_test.go
@@ -60,6 +60,13 @@
 
 // openServer starts a Server for at most 100 clients, with clientBytes as the limit on the bytes stored for them.
 func openServer(t *testing.T, handler *recordingHandler, clientBytes int) (
+	e *transport.Engine, s *Server, address string) {
+	t.Helper()
+	return openServerWith(t, handler, clientBytes)
+}
+
+// openServerWith is like openServer, for any Handler.
+func openServerWith(t *testing.T, handler Handler, clientBytes int) (
 	e *transport.Engine, s *Server, address string) {
 	t.Helper()
 	log := quietLogger()
--- a/internal/frontend/responses.go
+++ b/internal/frontend/responses.go
@@ -96,7 +96,32 @@
 	return msgpack.AppendUint(msgpack.AppendUint(msgpack.AppendArray(b, responseLength), kindResponse), id)
 }
 
+// maxGatheredAnswers is the number of bytes of answers that are gathered before they are sent.
+const maxGatheredAnswers = 1 << 15
+
+// send sends the parts of an answer. Answers to requests that are being decoded are gathered, and sent together: a
+// client that sends thousands of requests at once, which are all turned away, would otherwise cost as many system
+// calls.
 func (c *connection) send(parts ...[]byte) {
-	c.lastAnswer = c.server.engine.Now()
-	c.conn.Send(parts...)
+	s := c.server
+	c.lastAnswer = s.engine.Now()
+	if !c.decoding {
+		c.conn.Send(parts...)
+		return
+	}
+	for _, part := range parts {
+		s.gathered = append(s.gathered, part...)
+	}
+	if len(s.gathered) >= maxGatheredAnswers {
+		c.sendGathered()
+	}
+}
+
+// sendGathered sends the answers that were gathered while the connection's bytes were decoded.
+func (c *connection) sendGathered() {
+	s := c.server
+	if len(s.gathered) > 0 {
+		c.conn.Send(s.gathered)
+		s.gathered = s.gathered[:0]
+	}
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -50,6 +50,7 @@
 	request      Request // scratch space: one request is read at a time
 	head         []byte  // scratch space for the start of an answer
 	tail         []byte  // scratch space for the end of an answer
+	gathered     []byte  // answers to requests of the connection whose bytes are being decoded
 	searchBuffer []byte  // scratch space for bytes that are searched before they are decoded; nil: not allocated
 }
 
