Front end: a client that has closed behind unread requests counts as gone

Cause: the end of a connection was looked for by a peek, which finds it only if nothing is unread in front of it. Change: the kernel is asked by poll; and a client that sends more than it may have open, for 50 ms faster than it is read, is rejected. The time for which a request can have waited behind others counts against its timeout.

--- a/internal/frontend/backlog.go
+++ b/internal/frontend/backlog.go
@@ -12,6 +12,9 @@
 	// maxUnseenCancelAge is how long ago, at most, a client may have canceled a request or disconnected without the
 	// server's knowledge when an attempt of the request begins.
 	maxUnseenCancelAge = 80 * time.Millisecond
+	// maxBehind is the same for a client whose bytes are read more slowly than it sends them. It leaves time for what
+	// was unread before the first read, and until the attempt begins.
+	maxBehind = 50 * time.Millisecond
 )
 
 // backlog tracks which of a connection's bytes may have been sent during a stall, which is a time when the process did
@@ -114,6 +117,8 @@
 // which a cancellation or the end of the connection can have gone unread.
 func (c *connection) clientState(id uint64, unseenFor time.Duration) ClientState {
 	switch {
+	case c.fallenBehind(c.lastActive):
+		return ClientUnknown
 	case unseenFor <= 0:
 		return ClientWaits
 	case c.cancellationPending(id):
@@ -123,3 +128,10 @@
 	}
 	return ClientWaits
 }
+
+// fallenBehind reports whether there have been unread bytes behind each read for so long that the client may have left
+// more than maxBehind ago: its end follows behind bytes that it may not even have been able to send yet. It
+// applies to a client that has sent more meanwhile than it may have open.
+func (c *connection) fallenBehind(now time.Time) bool {
+	return c.readSince > maxOpenRequests && now.Sub(c.unreadSince) > maxBehind
+}
--- a/internal/frontend/cancellation.go
+++ b/internal/frontend/cancellation.go
@@ -10,6 +10,9 @@
 
 // State implements Client. Outside of a backlog it does not search the unread bytes, which are about to be read.
 func (c *connection) State(number RequestNumber) ClientState {
+	if c.fallenBehind(c.server.engine.Now()) {
+		return ClientUnknown
+	}
 	if !c.backlog.active() {
 		return ClientWaits
 	}
@@ -55,11 +58,11 @@
 	}
 	undecoded := s.ensureSearchBuffer(len(buffered))
 	size := copy(undecoded, buffered)
-	n, ended := c.conn.Peek(undecoded[size : size+maxPeek])
+	n, _ := c.conn.Peek(undecoded[size : size+maxPeek])
 	undecoded = c.afterDiscarded(undecoded[:size+n])
 	begin := c.decodedBytes + int64(size+n-len(undecoded))
 	search.searchedAt = now
-	search.ended = ended
+	_, search.ended = c.conn.LookAhead()
 	search.forgetDecoded(c.decodedBytes)
 	if skip := search.end - begin; skip > 0 {
 		undecoded = undecoded[min(skip, int64(len(undecoded))):]
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -29,8 +29,11 @@
 	undecoded        []byte        // the bytes after the message being handled
 	unhandled        int           // number of bytes passed to Data and not yet to the decoder: see beginBacklog
 	unreadFor        time.Duration // longest time for which the message being handled can have been unread
-	clientHalfClosed bool          // the client has closed its sending side: no bytes follow those being decoded
+	waitedFor        time.Duration // longest time for which it can have waited behind other unread bytes
+	clientHalfClosed bool          // the client has closed its sending side, perhaps behind further unread bytes
 
+	unreadSince          time.Time // since when there have been unread bytes behind each read; zero: there are none
+	readSince            int       // number of requests read since unreadSince
 	lastActive           time.Time // when bytes last arrived, or the connection was accepted
 	hasReceived          bool      // bytes have arrived
 	awaitingRequestSince time.Time // since when the rest of a request, or the first request, is awaited; zero: not awaited
@@ -106,11 +109,11 @@
 // decode decodes received bytes, and returns an error if the connection must be closed. It updates
 // awaitingRequestSince.
 func (c *connection) decode(b []byte) error {
+	c.lookAhead()
 	c.lastActive = c.server.engine.Now()
 	c.hasReceived = true
 	c.backlog.bytesArrived(c.lastActive, !c.partlyReceived())
 	c.sawMessage = false
-	c.clientHalfClosed = c.conn.AtEOF()
 	c.decoding = true
 	c.server.gathered = c.server.gathered[:0]
 	err := c.decodeMessages(b)
@@ -128,6 +131,26 @@
 	return nil
 }
 
+// lookAhead updates what is known of the bytes behind those that are about to be decoded.
+func (c *connection) lookAhead() {
+	now := c.server.engine.Now()
+	c.waitedFor = 0
+	if !c.unreadSince.IsZero() {
+		c.waitedFor = now.Sub(c.unreadSince)
+	}
+	var unread bool
+	unread, c.clientHalfClosed = c.conn.LookAhead()
+	switch {
+	case !unread:
+		c.unreadSince = time.Time{}
+		c.readSince = 0
+	case !c.hasReceived:
+		c.unreadSince = c.lastActive // since it was accepted
+	case c.unreadSince.IsZero():
+		c.unreadSince = now
+	}
+}
+
 // decodeMessages handles the complete messages in the stored bytes followed by b, and stores or skips the rest.
 func (c *connection) decodeMessages(b []byte) error {
 	b, err := c.skipDiscarded(b)
--- a/internal/frontend/messages.go
+++ b/internal/frontend/messages.go
@@ -70,10 +70,13 @@
 		c.sendReady(id)
 		return nil
 	}
+	if !c.unreadSince.IsZero() {
+		c.readSince++
+	}
 	if c.backlog.requestRead() {
 		c.unreadFor = 0
 	}
-	if c.server.draining {
+	if c.server.draining || c.clientHalfClosed { // the client may have disconnected, so no attempt may begin
 		c.sendRejected(id)
 		return nil
 	}
@@ -85,10 +88,6 @@
 		c.sendRejected(id)
 		return nil
 	}
-	if c.clientHalfClosed { // the client may have disconnected, so no attempt may begin
-		c.sendRejected(id)
-		return nil
-	}
 	c.admit(id, method, r)
 	return nil
 }
@@ -108,7 +107,7 @@
 func (c *connection) admit(id uint64, method []byte, r *msgpack.Reader) {
 	s := c.server
 	request := &s.request
-	*request = Request{UnreadFor: clock.FromDuration(c.unreadFor)}
+	*request = Request{UnreadFor: clock.FromDuration(max(c.unreadFor, c.waitedFor))}
 	err := c.readRequest(r, method, request)
 	if err == nil && len(c.openRequests) >= maxOpenRequests {
 		err = errTooManyRequests
--- a/internal/frontend/stall_test.go
+++ b/internal/frontend/stall_test.go
@@ -35,6 +35,42 @@
 	}
 }
 
+// Guards against requests that are sent on after their client has closed its connection with much still unread: the end
+// is known before the bytes in front of it are read.
+func TestClosedBehindManyUnreadRequests(t *testing.T) {
+	const size = 66_000 // more than one read, and no more than the kernel's buffer holds behind the first one
+	handler := &recordingHandler{}
+	e, s, address := openServer(t, handler, 1<<20)
+	defer e.Stop()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var requests []byte
+	for id := uint64(1); len(requests) < size; id++ {
+		fields := testserver.RequestParams(id, testObject, time.Second)
+		requests = append(requests, testserver.Request(id, "page", fields, nil)...)
+	}
+	accepted := func() bool { return len(s.connections) > 0 }
+	waitUntil(t, e, "the connection was not accepted", accepted)
+	e.Do(func() { // nothing is handled meanwhile
+		_, _ = conn.Write(requests)
+		_ = conn.Close()
+		for c := range s.connections { // the only one
+			for i := 0; i < 5000; i++ {
+				if _, closed := c.conn.LookAhead(); closed {
+					break
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}
+	})
+	waitUntil(t, e, "the connection was not closed", func() bool { return !accepted() })
+	if handler.arrived > 0 {
+		t.Errorf("%d requests were passed to the handler after their client had closed the connection", handler.arrived)
+	}
+}
+
 // If a request and its cancellation are read together after a stall, the request must not be passed to the handler, but
 // other requests on the connection must be. A cancellation of a request that was passed on must be found while it is
 // unread.
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -66,10 +66,14 @@
 // Connected reports whether the connection was established. It remains true after the connection is closed.
 func (c *Conn) Connected() bool { return c.socket != nil }
 
-// AtEOF reports whether the peer has closed its sending side and all received bytes were passed to the handler.
-func (c *Conn) AtEOF() bool {
-	_, eof := c.Peek(c.engine.peekByte[:])
-	return eof
+// LookAhead reports whether received bytes have not been passed to the handler, and whether the peer has closed its
+// sending side or reset the connection, be it behind such bytes.
+func (c *Conn) LookAhead() (unread, peerClosed bool) {
+	n, eof := c.Peek(c.engine.peekByte[:])
+	if n == 0 {
+		return false, eof
+	}
+	return true, c.socket.PeerClosed()
 }
 
 // HasUnread reports whether there are received bytes that have not been passed to the handler.
--- a/internal/transport/engine_test.go
+++ b/internal/transport/engine_test.go
@@ -231,8 +231,8 @@
 	}
 }
 
-// AtEOF and HasUnread are called for every request. They must allocate no memory, and must distinguish unread
-// bytes, an end of file, and neither.
+// LookAhead is called for every request. It must allocate no memory, and must distinguish unread bytes, the end of the
+// connection, also behind unread bytes, and neither.
 func TestPeekAllocatesNothing(t *testing.T) {
 	e := newEngine(t)
 	l := listen(t)
@@ -246,16 +246,27 @@
 	conn := accept(t, l)
 	<-established
 	e.Do(func() {
-		if n := testing.AllocsPerRun(100, func() { c.AtEOF() }); n != 0 || c.AtEOF() || c.HasUnread() {
-			t.Errorf("%v allocations, at EOF: %v, unread: %v; want none of these", n, c.AtEOF(), c.HasUnread())
+		check := func(wantUnread, wantClosed bool) {
+			t.Helper()
+			unread, closed := c.LookAhead()
+			if n := testing.AllocsPerRun(100, func() { c.LookAhead() }); n != 0 || unread != wantUnread || closed != wantClosed {
+				t.Errorf("%v allocations, unread: %v, closed: %v; want none, %v and %v", n, unread, closed, wantUnread, wantClosed)
+			}
 		}
+		check(false, false)
 		_, _ = conn.Write([]byte("x")) // the poller may already have read it
 		for i := 0; i < 5000 && !c.HasUnread(); i++ {
 			time.Sleep(time.Millisecond)
 		}
-		if !c.HasUnread() || c.AtEOF() {
-			t.Error("an unread byte was not found, or an end of file was reported")
+		check(true, false)
+		closeQuietly(conn)
+		for i := 0; i < 5000; i++ {
+			if _, closed := c.LookAhead(); closed {
+				break
+			}
+			time.Sleep(time.Millisecond)
 		}
+		check(true, true)
 	})
 }
 
--- a/internal/transport/kernel.go
+++ b/internal/transport/kernel.go
@@ -11,6 +11,7 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -31,6 +32,8 @@
 	catchUp        catchUpQueue
 	dialContext    context.Context // parent of the contexts of the connects in progress
 	cancelDials    func()
+
+	pollDescriptors [1]unix.PollFd // scratch space; guarded by the engine's lock
 }
 
 func newKernel(descriptors int) *kernel {
--- a/internal/transport/kernel_socket.go
+++ b/internal/transport/kernel_socket.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lesismal/nbio"
+	"golang.org/x/sys/unix"
 )
 
 // kernelSocket is the Socket of a connection of the poller.
@@ -43,6 +44,14 @@
 	return read + max(n, 0), err == nil && read+n == 0
 }
 
+// PeerClosed asks the kernel, which knows of the end before the bytes in front of it are read.
+func (s kernelSocket) PeerClosed() bool {
+	descriptors := s.kernel.pollDescriptors[:]
+	descriptors[0] = unix.PollFd{Fd: int32(s.conn.Hash()), Events: unix.POLLRDHUP}
+	_, err := unix.Poll(descriptors, 0)
+	return err == nil && descriptors[0].Revents&unix.POLLRDHUP != 0
+}
+
 const (
 	// fullThresholdDivisor divides the receive buffer's size in FullThreshold. The kernel also counts its own
 	// structures against that size, so small packets fill the buffer with as little as a quarter of the size in data.
--- a/internal/transport/runtime.go
+++ b/internal/transport/runtime.go
@@ -59,6 +59,9 @@
 	// Peek copies received bytes that have not been passed to the handler to b, without consuming them, and returns
 	// their number. If there are none, eof reports whether the peer has closed its sending side.
 	Peek(b []byte) (n int, eof bool)
+	// PeerClosed reports whether the peer has closed its sending side or reset the connection, whether or not received
+	// bytes are unread.
+	PeerClosed() bool
 	// FullThreshold returns the smallest number of unread bytes with which the receive buffer may be full, so that
 	// the peer can't send any more.
 	FullThreshold() int
--- a/simulation/network/socket.go
+++ b/simulation/network/socket.go
@@ -102,6 +102,9 @@
 	return copy(b, s.receiveBuffer), s.finReceived && len(s.receiveBuffer) == 0
 }
 
+// PeerClosed reports whether the peer has closed its sending side, even if data is unread.
+func (s *socket) PeerClosed() bool { return s.finReceived }
+
 // CloseWrite closes the sending side after all bytes sent before. The socket still receives.
 func (s *socket) CloseWrite() {
 	if s.state == stateOpen {
