--- a/internal/service/attempts.go
+++ b/internal/service/attempts.go
@@ -150,6 +150,7 @@
 func (p *proxy) finishAttempt(r *request, a *attempt, outcome routing.Outcome, result *attempts.Result) {
 	a.ended = true
 	now := p.clockNow()
+	p.rememberRun(r, outcome, now)
 	report := routing.AttemptResult{
 		Attempt:     a.number,
 		Outcome:     outcome,
--- a/internal/service/proxy.go
+++ b/internal/service/proxy.go
@@ -43,6 +43,7 @@
 	requests          []request                   // indexed by RequestID.Index
 	arriving          request                     // passed to the Router, which has not accepted it yet
 	openTraceIDs      map[frontend.HexID]struct{} // of all open requests
+	recentIDs         recentIDs                   // trace ids that may not come again: see recentids.go
 	results           []endedAttempt              // queued for the Router
 	deliveredCount    int                         // number of results, from the first, that the Router has received
 	abandonedRequests []routing.RequestID         // whose clients have left; to be reported to the Router
--- a/internal/service/requests.go
+++ b/internal/service/requests.go
@@ -33,9 +33,10 @@
 
 // StartRequest starts a request of a client or of background work, and reports whether it did. It refuses a
 // request whose trace id is that of an open request: caches identify requests by their trace ids and would confuse
-// the two.
+// the two. It also refuses one that has come before and must not take effect twice.
 func (p *proxy) StartRequest(client frontend.Client, number frontend.RequestNumber, params *frontend.Request) bool {
-	if _, open := p.openTraceIDs[params.TraceID]; open {
+	_, open := p.openTraceIDs[params.TraceID]
+	if open || p.recentIDs.contains(params.TraceID, p.clockNow()) {
 		return false
 	}
 	p.arriving = request{client: client, number: number, params: *params}
