Cluster: a router does not take answers to an earlier process for its own

Cause: queries, requests for summaries and of recoveries were numbered from 1 in each process, and answers carry only that number. Change: the numbers begin at a hash of the router's ID and start time. Measured: TestAnswerToAnEarlierProcessIsIgnored failed before.

--- a/cluster/membership/member.go
+++ b/cluster/membership/member.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"threadrun/internal/clock"
+	"threadrun/internal/hash"
 )
 
 // Micros is a time or a duration in microseconds.
@@ -80,6 +81,16 @@
 	Address netip.AddrPort
 }
 
+// firstNumberBits is the number of bits of FirstNumber: few enough that the encoded numbers are short.
+const firstNumberBits = 28
+
+// FirstNumber returns the number from which a router counts the requests that it sends to others. It differs from that
+// of an earlier process at the same address, which has the same ID, so that late answers to that process are not taken
+// for answers to this one.
+func FirstNumber(id NodeID, incarnation Incarnation) uint32 {
+	return uint32(hash.Combine(uint64(id), uint64(incarnation)) & (1<<firstNumberBits - 1))
+}
+
 // Member is the identity of a router, and its state as the router that keeps the Member believes it to be.
 type Member struct {
 	Identity
--- a/cluster/node/node.go
+++ b/cluster/node/node.go
@@ -107,7 +107,7 @@
 		return
 	}
 	n.Publisher = summary.NewPublisher(owner)
-	n.summaries = summary.NewReader()
+	n.summaries = summary.NewReader(owner)
 	n.coordinator = scatter.New(now, owner, queryOutput{n})
 	if features.Location {
 		n.Locator = location.New(now, locationOutput{n}, location.DefaultBounds)
--- a/cluster/recovery/manager.go
+++ b/cluster/recovery/manager.go
@@ -122,6 +122,7 @@
 		store:         store,
 		bounds:        bounds,
 		random:        random.Source{Seed: seed},
+		lastNumber:    membership.FirstNumber(self.ID, self.Incarnation),
 		now:           now,
 		startedAt:     now,
 		stateSince:    now,
--- a/cluster/scatter/coordinator.go
+++ b/cluster/scatter/coordinator.go
@@ -95,7 +95,14 @@
 
 // New returns the Coordinator of one router, which self identifies.
 func New(now Micros, self shardmap.Owner, output Output) *Coordinator {
-	return &Coordinator{self: self, output: output, now: now, tokens: requestBurst, refilledAt: now}
+	return &Coordinator{
+		self:       self,
+		output:     output,
+		now:        now,
+		lastNumber: membership.FirstNumber(self.ID, self.Incarnation),
+		tokens:     requestBurst,
+		refilledAt: now,
+	}
 }
 
 // Start starts a query for the records that match criteria, and returns its number. The query ends when it is
--- a/cluster/summary/reader.go
+++ b/cluster/summary/reader.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/bits-and-blooms/bloom/v3"
 
+	"threadrun/cluster/membership"
 	"threadrun/cluster/shardmap"
 	"threadrun/internal/clock"
 )
@@ -49,8 +50,13 @@
 	lease          lease // earliest end and smallest length of the leases of the answered requests
 }
 
-// NewReader returns a Reader without summaries.
-func NewReader() *Reader { return &Reader{owners: map[shardmap.Owner]*ownerState{}} }
+// NewReader returns the Reader of a router, without summaries.
+func NewReader(self shardmap.Owner) *Reader {
+	return &Reader{
+		owners:     map[shardmap.Owner]*ownerState{},
+		lastNumber: membership.FirstNumber(self.ID, self.Incarnation),
+	}
+}
 
 // MayMatch reports whether an owner could hold a record that matches a query, under the map m. It returns true if
 // there is no valid summary of this incarnation of the owner under m.
--- a/cluster/summary/summary_test.go
+++ b/cluster/summary/summary_test.go
@@ -40,8 +40,11 @@
 		now:       second,
 		shardMap:  1,
 		publisher: NewPublisher(testOwner),
-		readers:   [2]*Reader{NewReader(), NewReader()},
-		records:   map[shardmap.Key]*directory.Record{},
+		readers: [2]*Reader{
+			NewReader(shardmap.Owner{ID: 6, Incarnation: 1}),
+			NewReader(shardmap.Owner{ID: 7, Incarnation: 1}),
+		},
+		records: map[shardmap.Key]*directory.Record{},
 	}
 }
 
@@ -164,9 +167,38 @@
 	}
 }
 
+// Guards against a router that takes a late answer to an earlier process at its address for an answer to itself: it
+// would use the summary for longer than the owner has promised to keep to it.
+func TestAnswerToAnEarlierProcessIsIgnored(t *testing.T) {
+	publisher := NewPublisher(testOwner)
+	publisher.Update(second, 1, func(func(*directory.Record)) {})
+	request := func(now Micros, r *Reader) (answers [][]byte) {
+		r.Tick(now, testOwner, MinLease, func(b []byte) {
+			_ = publisher.Answer(now, b, func(answer []byte) { answers = append(answers, append([]byte(nil), answer...)) })
+		})
+		return answers
+	}
+	earlier := NewReader(shardmap.Owner{ID: 6, Incarnation: 1000})
+	late := request(second, earlier)
+	reader := NewReader(shardmap.Owner{ID: 6, Incarnation: 2000})
+	answers := request(2*second, reader)
+	for _, b := range late {
+		_ = reader.Receive(2*second, b)
+	}
+	if reader.owners[testOwner].current != nil {
+		t.Error("an answer to an earlier process was used")
+	}
+	for _, b := range answers {
+		_ = reader.Receive(2*second, b)
+	}
+	if len(answers) == 0 || reader.owners[testOwner].current == nil {
+		t.Errorf("the reader has no summary after %d answers", len(answers))
+	}
+}
+
 // BenchmarkMayMatch measures the check of a query against a summary of 300 records.
 func BenchmarkMayMatch(b *testing.B) {
-	publisher, reader := NewPublisher(testOwner), NewReader()
+	publisher, reader := NewPublisher(testOwner), NewReader(shardmap.Owner{ID: 6, Incarnation: 1})
 	publisher.Update(second, 1, func(f func(*directory.Record)) {
 		for i := range 300 {
 			f(&directory.Record{Key: shardmap.Key(i+1) << 20, SizeKB: 5})
