--- a/internal/testserver/footprint.go
+++ b/internal/testserver/footprint.go
@@ -83,6 +83,17 @@
 	return EndpointJSON(fmt.Sprintf("far-%d", i), address, "branch", "cache", state, 0)
 }
 
+// SetLimits sets the memory and the descriptors that the configuration of each router states.
+func (z *Zone) SetLimits(memoryMB, descriptors int) {
+	z.editConfig = func(_ int, config string) string { return withLimits(config, memoryMB, descriptors) }
+}
+
+// withLimits returns a configuration with other limits.
+func withLimits(config string, memoryMB, descriptors int) string {
+	config = strings.Replace(config, `"memory_mb":192`, fmt.Sprintf(`"memory_mb":%d`, memoryMB), 1)
+	return strings.Replace(config, `"sockets":512`, fmt.Sprintf(`"sockets":%d`, descriptors), 1)
+}
+
 // configureFootprint sets the limits and the peers in the router's configuration. The number of peers is machines; the
 // first peer is the router itself, and the others do not exist.
 func (z *Zone) configureFootprint(machines, memoryMB, descriptors int) {
@@ -92,8 +103,7 @@
 	}
 	list, _ := json.Marshal(peers)
 	z.editConfig = func(_ int, config string) string {
-		config = strings.Replace(config, `"memory_mb":192`, fmt.Sprintf(`"memory_mb":%d`, memoryMB), 1)
-		config = strings.Replace(config, `"sockets":512`, fmt.Sprintf(`"sockets":%d`, descriptors), 1)
+		config = withLimits(config, memoryMB, descriptors)
 		return strings.Replace(config, `"known":`, fmt.Sprintf(`"peers":%s,"known":`, list), 1)
 	}
 }
