Front end: at the limit on connections, messages larger than any valid request go first

Cause: only idle connections could be evicted, and those of such clients are never idle. Change: one with more bytes of a message than any valid request has is closed first.

--- a/internal/frontend/discard.go
+++ b/internal/frontend/discard.go
@@ -9,6 +9,7 @@
 	rest      msgpack.Skipper
 	isRequest bool
 	id        uint64 // the client's id of a request
+	bytes     int    // number of bytes that have arrived
 }
 
 // limitIncompleteBytes discards the largest incomplete messages until the stored bytes of all are within
@@ -59,7 +60,11 @@
 	if err != nil {
 		return err
 	}
-	message := &discardedMessage{rest: msgpack.NewSkipper(maxMessage), isRequest: kind == kindRequest}
+	message := &discardedMessage{
+		rest:      msgpack.NewSkipper(maxMessage),
+		isRequest: kind == kindRequest,
+		bytes:     len(stored),
+	}
 	if message.isRequest {
 		message.id = r.Uint()
 	}
@@ -85,6 +90,7 @@
 		return nil, err
 	}
 	c.bytesDecoded(n, c.lastActive)
+	c.discarded.bytes += n
 	if !complete {
 		return nil, nil
 	}
--- a/internal/frontend/limits.go
+++ b/internal/frontend/limits.go
@@ -5,6 +5,8 @@
 const (
 	// requestTimeout is how long the rest of a request, or the first request of a connection, may take to arrive.
 	requestTimeout = 2500 * time.Millisecond
+	// maxValidRequest is a size in bytes that no valid request exceeds: a body, and the fields in front of it.
+	maxValidRequest = maxBody + maxSmallRequest
 	// maxEvictionTries is the maximum number of connections that are considered for one eviction.
 	maxEvictionTries = 8
 	// A limit counts as reached until the number that it limits falls below this fraction of it, so that a number that
@@ -13,9 +15,12 @@
 	belowLimitDenominator = 4
 )
 
-// evict closes the connection that has been idle longest. It logs once each time the connection limit is reached.
+// evict closes a connection on which a message larger than any valid request is arriving or, if there is none, the one
+// that has been idle longest. It logs once each time the connection limit is reached.
 func (s *Server) evict() {
-	if c := s.longestIdle(); c != nil {
+	if c := s.oldestOversized(); c != nil {
+		c.conn.Fail(errMessageTooLarge)
+	} else if c := s.longestIdle(); c != nil {
 		c.conn.Fail(errEvicted)
 	}
 	if !s.atConnectionLimit {
@@ -24,6 +29,23 @@
 	}
 }
 
+// oldestOversized returns, of the connections on which no request is open and a message larger than any valid request
+// is arriving, the one that was accepted first, or nil. Clients that send such messages and leave at once would
+// otherwise push out those who rest between two requests.
+func (s *Server) oldestOversized() *connection {
+	var oldest *connection
+	for c := range s.connections {
+		size := c.received.Len()
+		if c.discarded != nil {
+			size = c.discarded.bytes
+		}
+		if size > maxValidRequest && c.idle() && (oldest == nil || c.serial < oldest.serial) {
+			oldest = c
+		}
+	}
+	return oldest
+}
+
 // longestIdle returns the connection that has been idle longest and has no unread bytes, or nil if it finds none.
 // Unread bytes may be a request, which must not be lost in a flood of new connections.
 func (s *Server) longestIdle() *connection {
