Front end: a test of clients that are read more slowly than they send

TestClientThatIsReadTooSlowly has the conditions under which such a client counts as one that may have left. The part of lookAhead that the test needs is a method of its own; its steps are the same.

--- a/internal/frontend/backlog_test.go
+++ b/internal/frontend/backlog_test.go
@@ -83,3 +83,29 @@
 		t.Errorf("unread for %s, want %s", got, 4*stallLength)
 	}
 }
+
+// Guards against attempts for a client that has left behind more than the router has read: after maxBehind, a client
+// that has sent more requests than it may have open must count as one that may have left. One that has not must not,
+// and none must once nothing is unread.
+func TestClientThatIsReadTooSlowly(t *testing.T) {
+	for _, step := range []struct {
+		requests int
+		unread   bool
+		behind   time.Duration
+		want     bool
+	}{
+		{maxOpenRequests + 1, true, maxBehind, false},
+		{maxOpenRequests + 1, true, maxBehind + 1, true},
+		{maxOpenRequests, true, time.Second, false},
+		{maxOpenRequests + 1, false, time.Second, false},
+	} {
+		c := &connection{readSince: step.requests, unreadSince: stallEnd}
+		if !step.unread {
+			c.noteUnread(false, stallEnd)
+		}
+		if got := c.fallenBehind(stallEnd.Add(step.behind)); got != step.want {
+			t.Errorf("%d requests, unread bytes: %v, %s behind: %v, want %v", step.requests, step.unread, step.behind, got,
+				step.want)
+		}
+	}
+}
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -140,6 +140,11 @@
 	}
 	var unread bool
 	unread, c.clientHalfClosed = c.conn.LookAhead()
+	c.noteUnread(unread, now)
+}
+
+// noteUnread updates unreadSince, given whether there are unread bytes behind those that are about to be decoded.
+func (c *connection) noteUnread(unread bool, now time.Time) {
 	switch {
 	case !unread:
 		c.unreadSince = time.Time{}
