Transport: a failed read no longer counts as reading while its connection is closed

Cause: since connections are read in turn, a read error closed the connection before the handoff was emptied, so that a peek under the engine's lock would have waited for a read that had ended. Found while looking for the cause of lost requests with messages in small pieces; it was not that one. Measured: TestFailedReadKeepsNoPeekWaiting failed before.

--- a/internal/transport/kernel_read.go
+++ b/internal/transport/kernel_read.go
@@ -33,13 +33,7 @@
 // readOnce reads at most as many bytes as its buffer holds, and passes them to the engine. more reports whether there
 // may be further bytes. An error closes the connection.
 func (r *reader) readOnce(conn *nbio.Conn) (more bool) {
-	defer r.handoff.set(nil, nil, nil)
-	r.handoff.set(conn, nil, nil)
-	buffer := r.buffer
-	_, n, err := conn.ReadAndGetConn(&buffer)
-	if n > 0 {
-		r.kernel.handleData(&r.handoff, conn, buffer[:n])
-	}
+	n, err := r.read(conn)
 	switch {
 	case errors.Is(err, syscall.EINTR):
 		return true
@@ -49,7 +43,20 @@
 		_ = conn.CloseWithError(err)
 		return false
 	}
-	return n == len(buffer)
+	return n == len(r.buffer)
+}
+
+// read reads once and passes the bytes to the engine. When it returns, the handoff is empty: whoever closes the
+// connection waits for the engine's lock, and must not keep the holder of the lock waiting for the end of a read.
+func (r *reader) read(conn *nbio.Conn) (int, error) {
+	r.handoff.set(conn, nil, nil)
+	defer r.handoff.set(nil, nil, nil)
+	buffer := r.buffer
+	_, n, err := conn.ReadAndGetConn(&buffer)
+	if n > 0 {
+		r.kernel.handleData(&r.handoff, conn, buffer[:n])
+	}
+	return n, err
 }
 
 // handleReadable is called by the poller when a connection has become readable, or has ended.
--- a/internal/transport/kernel_read_test.go
+++ b/internal/transport/kernel_read_test.go
@@ -72,6 +72,44 @@
 	}
 }
 
+// Guards against a lock that is held while its holder waits for a read that has ended: when a read fails, and the end
+// of the connection is about to be handled, a peek at the connection must not wait.
+func TestFailedReadKeepsNoPeekWaiting(t *testing.T) {
+	e := newEngine(t)
+	e.SetMaxAccepted(8)
+	k := e.runtime.(*kernel)
+	address := freeAddress(t)
+	stillReading := make(chan bool, 1)
+	err := e.Listen(address, func(*Conn) Handler {
+		return &testHandler{
+			data: func([]byte) error { return nil },
+			closed: func(error) {
+				h := &k.acceptedReader.handoff
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				stillReading <- h.reading != nil
+			},
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.(*net.TCPConn).SetLinger(0) // the close resets the connection, so that the read fails
+	closeQuietly(conn)
+	select {
+	case reading := <-stillReading:
+		if reading {
+			t.Error("the reader counts as reading while the end of the connection is handled")
+		}
+	case <-time.After(hangTimeout):
+		t.Error("the connection was not closed")
+	}
+}
+
 // A connection that the catch-up reader holds must be read again if it became readable during a read, and must be left
 // to the poller after that.
 func TestCatchUpQueue(t *testing.T) {
