Front end: unread bytes are counted after a stall, not copied

Cause: after a stall up to 64 KB of each connection were peeked at; with thousands of small packets that takes milliseconds each, 0.9 s in all under the lock, and the late loop counted as the next stall. Evidence: the stacks of a router that did not answer, and stalled_ms 743 to 917 in a row in its log. Change: the kernel is asked for the number of unread bytes.

--- a/internal/frontend/backlog.go
+++ b/internal/frontend/backlog.go
@@ -106,7 +106,7 @@
 // has not ended. The stall lasted from since until now.
 func (c *connection) beginBacklog(since, now time.Time) {
 	c.search = cancellationSearch{} // what has arrived during the stall was not searched
-	unread, full, ended := c.conn.PeekUnread(c.server.ensurePeekBuffer(), c.unhandled)
+	unread, full, ended := c.conn.CountUnread(c.unhandled)
 	if unread == 0 && !ended && !c.backlog.active() {
 		return
 	}
--- a/internal/frontend/cancellation.go
+++ b/internal/frontend/cancellation.go
@@ -118,9 +118,6 @@
 	return unreadFor
 }
 
-// ensurePeekBuffer returns a buffer of maxPeek bytes.
-func (s *Server) ensurePeekBuffer() []byte { return s.ensureSearchBuffer(0)[:maxPeek] }
-
 // ensureSearchBuffer returns a buffer for a number of buffered bytes followed by maxPeek unread bytes. It allocates
 // searchBuffer on first use, which is after the first stall, and a larger one for the rest of a large message.
 func (s *Server) ensureSearchBuffer(buffered int) []byte {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -91,17 +91,20 @@
 	return c.socket.Peek(b)
 }
 
-// PeekUnread copies received bytes to b as Peek does. unhandled is the number of bytes that were passed to the
-// handler's Data and that Data has not handled yet; n includes them. full reports whether there may be more bytes,
-// because n has reached the length of b or the socket's FullThreshold, at which the receive buffer may be full and the
-// peer unable to send.
-func (c *Conn) PeekUnread(b []byte, unhandled int) (n int, full, eof bool) {
+// fullBytes is a number of unread bytes with which a receive buffer may be full, whatever its size is.
+const fullBytes = 1 << 16
+
+// CountUnread returns the number of received bytes that the handler has not handled. unhandled is the number of bytes
+// that were passed to the handler's Data and that Data has not handled yet; n includes them. full reports whether there
+// may be more bytes, because n has reached fullBytes or the socket's FullThreshold, at which the receive buffer may be
+// full and the peer unable to send. peerClosed is as in LookAhead.
+func (c *Conn) CountUnread(unhandled int) (n int, full, peerClosed bool) {
 	if c.closed || c.socket == nil {
 		return unhandled, false, false
 	}
-	n, eof = c.socket.Peek(b)
-	n += unhandled
-	return n, n >= min(c.socket.FullThreshold(), len(b)), eof
+	n = c.socket.Unread() + unhandled
+	_, peerClosed = c.LookAhead()
+	return n, n >= min(c.socket.FullThreshold(), fullBytes), peerClosed
 }
 
 // CloseWrite closes the sending side of the connection; bytes from the peer are still received. It must not be
--- a/internal/transport/kernel_socket.go
+++ b/internal/transport/kernel_socket.go
@@ -44,6 +44,16 @@
 	return read + max(n, 0), err == nil && read+n == 0
 }
 
+// Unread asks the kernel for the number. A peek would copy the bytes, and the kernel goes through all packets in front
+// of each one that it copies from, which takes milliseconds if a client has sent thousands of small ones.
+func (s kernelSocket) Unread() int {
+	unread, err := unix.IoctlGetInt(s.conn.Hash(), unix.TIOCINQ)
+	if err != nil {
+		return 0
+	}
+	return s.kernel.countRead(s.conn) + unread
+}
+
 // PeerClosed asks the kernel, which knows of the end before the bytes in front of it are read.
 func (s kernelSocket) PeerClosed() bool {
 	descriptors := s.kernel.pollDescriptors[:]
@@ -103,6 +113,14 @@
 	return parts
 }
 
+// countRead returns the number of bytes of a connection that have been read but not passed to the engine.
+func (k *kernel) countRead(conn *nbio.Conn) (n int) {
+	for _, r := range [...]*reader{&k.dialedReader, &k.acceptedReader, &k.catchUpReader} {
+		n += r.handoff.count(conn)
+	}
+	return n
+}
+
 // peekRead copies the bytes of a connection that have been read but not passed to the engine. At most one reader has
 // such bytes.
 func (k *kernel) peekRead(conn *nbio.Conn, b []byte) (n int) {
@@ -138,20 +156,31 @@
 	h.unhandled = unhandled
 }
 
-// peek copies the recorded bytes of a connection to b, and returns their number. It waits while the reader may
-// have read bytes from the connection but not recorded them yet: they are then neither here nor in the kernel.
+// peek copies the recorded bytes of a connection to b, and returns their number.
 func (h *handoff) peek(from *nbio.Conn, b []byte) (n int) {
+	h.inspect(from, func(unhandled []byte) { n = copy(b, unhandled) })
+	return n
+}
+
+// count returns the number of the recorded bytes of a connection.
+func (h *handoff) count(from *nbio.Conn) (n int) {
+	h.inspect(from, func(unhandled []byte) { n = len(unhandled) })
+	return n
+}
+
+// inspect calls f with the recorded bytes of a connection, if there are any. It waits while the reader may have read
+// bytes from the connection but not recorded them yet: they are then neither here nor in the kernel.
+func (h *handoff) inspect(from *nbio.Conn, f func(unhandled []byte)) {
 	for range maxHandoffPolls {
 		h.mu.Lock()
 		readInProgress := h.reading == from
 		if h.readFrom == from {
-			n = copy(b, h.unhandled)
+			f(h.unhandled)
 		}
 		h.mu.Unlock()
 		if !readInProgress {
-			return n
+			return
 		}
 		time.Sleep(handoffPollInterval)
 	}
-	return n
 }
--- a/internal/transport/runtime.go
+++ b/internal/transport/runtime.go
@@ -59,6 +59,9 @@
 	// Peek copies received bytes that have not been passed to the handler to b, without consuming them, and returns
 	// their number. If there are none, eof reports whether the peer has closed its sending side.
 	Peek(b []byte) (n int, eof bool)
+	// Unread returns the number of received bytes that have not been passed to the handler, in a time that does not
+	// depend on that number.
+	Unread() int
 	// PeerClosed reports whether the peer has closed its sending side or reset the connection, whether or not received
 	// bytes are unread.
 	PeerClosed() bool
--- a/simulation/network/socket.go
+++ b/simulation/network/socket.go
@@ -102,6 +102,9 @@
 	return copy(b, s.receiveBuffer), s.finReceived && len(s.receiveBuffer) == 0
 }
 
+// Unread returns the number of bytes of unread data.
+func (s *socket) Unread() int { return len(s.receiveBuffer) }
+
 // PeerClosed reports whether the peer has closed its sending side, even if data is unread.
 func (s *socket) PeerClosed() bool { return s.finReceived }
 
